--- /dev/null
+++ b/core/src/budget.rs
@@ -0,0 +1,78 @@
+//! Budgets: retries as a share of requests, and bytes a second.
+
+use crate::ids::Millis;
+
+/// A bucket that each request fills by a share of a token, and each retry empties by one.
+#[derive(Clone, Copy, Debug)]
+pub struct RetryBudget {
+    per_request: f64,
+    max: f64,
+    tokens: f64,
+}
+
+impl RetryBudget {
+    /// Makes a budget of `per_request` retries for each request, with at most `max` saved up.
+    ///
+    /// ```
+    /// let mut budget = redwingfold_core::RetryBudget::new(0.5, 1.0);
+    /// assert!(budget.try_retry());
+    /// assert!(!budget.try_retry());
+    /// budget.request();
+    /// budget.request();
+    /// assert!(budget.try_retry());
+    /// ```
+    pub fn new(per_request: f64, max: f64) -> Self {
+        Self { per_request, max, tokens: max }
+    }
+
+    /// Counts a first attempt.
+    pub fn request(&mut self) {
+        self.tokens = (self.tokens + self.per_request).min(self.max);
+    }
+
+    /// Takes a retry out of the budget, if there is one.
+    pub fn try_retry(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+/// A bucket that fills with time, for bytes a second.
+#[derive(Clone, Copy, Debug)]
+pub struct ByteBudget {
+    per_second: u64,
+    millibytes: u64,
+    filled: Millis,
+}
+
+impl ByteBudget {
+    /// Makes a full budget of `per_second` bytes a second, with one second's worth saved up.
+    pub fn new(per_second: u64, now: Millis) -> Self {
+        Self { per_second, millibytes: per_second * 1000, filled: now }
+    }
+
+    /// Takes `bytes` out of the budget, if they are there.
+    ///
+    /// ```
+    /// use redwingfold_core::{ByteBudget, Millis};
+    /// let mut budget = ByteBudget::new(1_000, Millis(0));
+    /// assert!(budget.try_take(1_000, Millis(0)));
+    /// assert!(!budget.try_take(100, Millis(50)));
+    /// assert!(budget.try_take(100, Millis(100)));
+    /// ```
+    pub fn try_take(&mut self, bytes: u64, now: Millis) -> bool {
+        let gained = now.since(self.filled).0 * self.per_second;
+        self.millibytes = (self.millibytes + gained).min(self.per_second * 1000);
+        self.filled = now;
+        match self.millibytes.checked_sub(bytes * 1000) {
+            Some(rest) => {
+                self.millibytes = rest;
+                true
+            }
+            None => false,
+        }
+    }
+}
--- /dev/null
+++ b/core/src/config/fold.rs
@@ -0,0 +1,268 @@
+//! The fold of the configuration stream: the same on every daemon, in log order.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use super::change::{Change, Record, Withdrawal};
+use super::object::{Object, ObjectKey, Spec};
+use super::validate;
+use crate::ids::{Millis, Offset, RequestId};
+
+/// Number of the folding rules; daemons with different numbers may differ in state.
+pub const RULES: u32 = 1;
+
+/// How many record ids and verdicts are remembered. At 21,000 changes a day this is over four
+/// hours, far longer than an author takes to read its own record back.
+const REMEMBERED: usize = 4096;
+
+/// An object with the offset of the record that last touched it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Stored {
+    /// Offset of the record that set the object.
+    pub revision: Offset,
+    /// The object.
+    pub object: Object,
+}
+
+/// The objects in force, up to an offset.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Config {
+    /// Offset of the last record that was folded.
+    pub offset: Offset,
+    /// The objects, by key.
+    pub objects: BTreeMap<ObjectKey, Stored>,
+}
+
+/// What the fold said about a record.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "verdict")]
+pub enum Verdict {
+    /// It is in force.
+    Accepted,
+    /// A second copy of a record that was folded at this offset.
+    Duplicate {
+        /// Offset of the first copy.
+        of: Offset,
+    },
+    /// It had no effect.
+    Rejected {
+        /// What was wrong, and who was faster where somebody was.
+        why: String,
+    },
+    /// The record cannot be read, or is of a kind that these rules do not know.
+    Skipped {
+        /// What could not be read.
+        why: String,
+    },
+}
+
+/// One line of the audit trail.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AuditEntry {
+    /// Offset of the record.
+    pub offset: Offset,
+    /// Id of the record.
+    pub id: RequestId,
+    /// Who asked.
+    pub author: String,
+    /// Why.
+    pub reason: String,
+    /// When, by the author's clock.
+    pub at: Millis,
+    /// Objects that it touches.
+    pub touches: Vec<ObjectKey>,
+    /// What the fold said.
+    #[serde(flatten)]
+    pub verdict: Verdict,
+}
+
+/// The last records that were folded, oldest first.
+pub type SeenIds = VecDeque<AuditEntry>;
+
+/// Everything that a fold needs to go on from an offset.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Snapshot {
+    /// Folding rules that made it.
+    pub rules: u32,
+    /// The objects.
+    pub config: Config,
+    /// Ids and verdicts that are still remembered.
+    pub audit: SeenIds,
+}
+
+/// The fold's state.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    config: Config,
+    audit: SeenIds,
+    by_id: BTreeMap<RequestId, Offset>,
+}
+
+impl Fold {
+    /// Starts from a snapshot.
+    ///
+    /// # Errors
+    ///
+    /// Returns the snapshot's number of rules if it is newer than [`RULES`].
+    pub fn from_snapshot(snapshot: Snapshot) -> Result<Self, u32> {
+        if snapshot.rules > RULES {
+            return Err(snapshot.rules);
+        }
+        let by_id = snapshot.audit.iter().map(|e| (e.id, e.offset)).collect();
+        Ok(Self { config: snapshot.config, audit: snapshot.audit, by_id })
+    }
+
+    /// Returns a snapshot of the state.
+    pub fn snapshot(&self) -> Snapshot {
+        Snapshot { rules: RULES, config: self.config.clone(), audit: self.audit.clone() }
+    }
+
+    /// Returns the objects in force.
+    pub fn config(&self) -> &Config {
+        &self.config
+    }
+
+    /// Returns the remembered part of the audit trail, oldest first.
+    pub fn audit(&self) -> &SeenIds {
+        &self.audit
+    }
+
+    /// Returns the audit line of a record, if it is still remembered.
+    pub fn verdict_of(&self, id: RequestId) -> Option<&AuditEntry> {
+        let offset = *self.by_id.get(&id)?;
+        self.audit.iter().rev().find(|entry| entry.offset == offset)
+    }
+
+    /// Returns a hash of the objects in force; equal offsets and rules must give equal hashes.
+    pub fn state_hash(&self) -> u64 {
+        let text = serde_json::to_vec(&self.config).unwrap_or_default();
+        xxhash_rust::xxh3::xxh3_64(&text)
+    }
+
+    /// Folds one record as it stands in the log.
+    ///
+    /// An offset at or below the state's is ignored: records arrive by several ways, and an old
+    /// one read late must not bring back what a newer one replaced.
+    ///
+    /// ```
+    /// use redwingfold_core::{Fold, Offset, Verdict};
+    /// let mut fold = Fold::default();
+    /// assert!(matches!(fold.apply(Offset(1), b"not json"), Some(Verdict::Skipped { .. })));
+    /// assert_eq!(fold.apply(Offset(1), b"not json"), None);
+    /// assert_eq!(fold.config().offset, Offset(1));
+    /// ```
+    pub fn apply(&mut self, offset: Offset, raw: &[u8]) -> Option<Verdict> {
+        if offset <= self.config.offset {
+            return None;
+        }
+        self.config.offset = offset;
+        let record = match serde_json::from_slice::<Record>(raw) {
+            Ok(record) => record,
+            Err(e) => return Some(Verdict::Skipped { why: e.to_string() }),
+        };
+        if let Some(&of) = self.by_id.get(&record.id()) {
+            return Some(Verdict::Duplicate { of });
+        }
+        let touches = touched(&record);
+        let outcome = match &record {
+            Record::Change(change) => self.change(offset, change),
+            Record::Withdraw(withdrawal) => self.withdraw(offset, withdrawal),
+        };
+        let verdict = match outcome {
+            Ok(()) => Verdict::Accepted,
+            Err(why) => Verdict::Rejected { why },
+        };
+        self.remember(offset, &record, touches, verdict.clone());
+        Some(verdict)
+    }
+
+    fn change(&mut self, offset: Offset, change: &Change) -> Result<(), String> {
+        if change.put.is_empty() && change.delete.is_empty() {
+            return Err("the change touches nothing".to_owned());
+        }
+        for key in change.put.iter().map(Object::key).chain(change.delete.iter().cloned()) {
+            self.expect(&key, change.expects.get(&key).copied())?;
+        }
+        let mut objects = self.config.objects.clone();
+        for key in &change.delete {
+            objects.remove(key);
+        }
+        for object in &change.put {
+            objects.insert(object.key(), Stored { revision: offset, object: object.clone() });
+        }
+        match validate::problems(&objects) {
+            found if found.is_empty() => {
+                self.config.objects = objects;
+                Ok(())
+            }
+            found => Err(found.join("; ")),
+        }
+    }
+
+    fn expect(&self, key: &ObjectKey, expected: Option<Offset>) -> Result<(), String> {
+        let found = self.config.objects.get(key).map_or(Offset(0), |stored| stored.revision);
+        match expected {
+            Some(expected) if expected == found => Ok(()),
+            Some(expected) => Err(format!(
+                "{key} is at revision {found}, not {expected}{}",
+                self.author_of(found)
+            )),
+            None => Err(format!("{key} is touched without an expected revision")),
+        }
+    }
+
+    fn author_of(&self, offset: Offset) -> String {
+        match self.audit.iter().rev().find(|entry| entry.offset == offset) {
+            Some(entry) => format!(": changed by {} ({})", entry.author, entry.reason),
+            None => String::new(),
+        }
+    }
+
+    fn withdraw(&mut self, offset: Offset, withdrawal: &Withdrawal) -> Result<(), String> {
+        let key = ObjectKey::new("version", &withdrawal.version);
+        match self.config.objects.get_mut(&key) {
+            Some(Stored { revision, object: Object { spec: Spec::Version(version), .. } }) => {
+                *revision = offset;
+                version.withdrawn_at = Some(offset);
+                version.withdrawn_streams = withdrawal.streams;
+                Ok(())
+            }
+            _ => Err(format!("{key} does not exist")),
+        }
+    }
+
+    fn remember(
+        &mut self,
+        offset: Offset,
+        record: &Record,
+        touches: Vec<ObjectKey>,
+        verdict: Verdict,
+    ) {
+        let (author, reason, at) = record.origin();
+        self.by_id.insert(record.id(), offset);
+        self.audit.push_back(AuditEntry {
+            offset,
+            id: record.id(),
+            author: author.to_owned(),
+            reason: reason.to_owned(),
+            at,
+            touches,
+            verdict,
+        });
+        if self.audit.len() > REMEMBERED
+            && let Some(oldest) = self.audit.pop_front()
+        {
+            self.by_id.remove(&oldest.id);
+        }
+    }
+}
+
+fn touched(record: &Record) -> Vec<ObjectKey> {
+    match record {
+        Record::Change(c) => {
+            c.put.iter().map(Object::key).chain(c.delete.iter().cloned()).collect()
+        }
+        Record::Withdraw(w) => vec![ObjectKey::new("version", &w.version)],
+    }
+}
--- /dev/null
+++ b/core/src/config/mod.rs
@@ -0,0 +1,15 @@
+//! The configuration: its objects, the changes to them, and the fold of the log into a state.
+
+mod change;
+mod fold;
+mod matches;
+mod object;
+mod validate;
+
+pub use change::{Change, Record, StreamsOnWithdrawal, Withdrawal};
+pub use fold::{AuditEntry, Config, Fold, RULES, SeenIds, Snapshot, Stored, Verdict};
+pub use matches::SelectorMatch;
+pub use object::{
+    CascadeSpec, CustomerSpec, GrantSpec, HostSelector, ModelSpec, Object, ObjectKey, RolloutSpec,
+    ServiceSpec, SessionSpec, Spec, VersionSpec,
+};
--- /dev/null
+++ b/core/src/config/object.rs
@@ -0,0 +1,225 @@
+//! The objects that operators declare.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use super::change::StreamsOnWithdrawal;
+use crate::ids::{CustomerName, ModelName, Offset, ParseIdError, PerMille, VersionName};
+use crate::label::{Labels, Selector};
+
+/// A selector over the labels of hosts.
+pub type HostSelector = Selector;
+
+/// One declared object.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Object {
+    /// Name, unique within the kind.
+    pub name: String,
+    /// Labels that selectors match.
+    #[serde(default)]
+    pub labels: Labels,
+    /// What the object declares.
+    #[serde(flatten)]
+    pub spec: Spec,
+}
+
+/// What an object declares, by kind.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind", content = "spec")]
+pub enum Spec {
+    /// Models in the order in which a request tries them.
+    Cascade(CascadeSpec),
+    /// Who may call.
+    Customer(CustomerSpec),
+    /// Which customers and sessions may use which versions.
+    Grant(GrantSpec),
+    /// A family of versions that callers name.
+    Model(ModelSpec),
+    /// A move of a model's new sessions from one version to another.
+    Rollout(RolloutSpec),
+    /// A plain service, by path.
+    Service(ServiceSpec),
+    /// A session that operators know by name.
+    Session(SessionSpec),
+    /// One deployable version of a model.
+    Version(VersionSpec),
+}
+
+/// Models in the order in which a request tries them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CascadeSpec {
+    /// Models, cheapest first.
+    pub models: Vec<ModelName>,
+    /// Quality that an answer is to reach, in thousandths of the rating service's scale.
+    pub target: PerMille,
+}
+
+/// Who may call.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CustomerSpec {
+    /// SHA-256 of each key in force, as 64 hex digits.
+    pub key_sha256: Vec<String>,
+    /// Weight in the fair queue; a customer with weight 2 gets twice the work of one with 1.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+fn default_weight() -> u32 {
+    1
+}
+
+/// Which customers and sessions may use which versions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct GrantSpec {
+    /// Over the labels of the customer and of its session, with `customer` and `session` added.
+    pub callers: Selector,
+    /// Over the labels of versions, with `version` and `model` added.
+    pub versions: Selector,
+}
+
+/// A family of versions that callers name.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ModelSpec {
+    /// Version of new sessions while no roll-out is under way.
+    pub current: VersionName,
+}
+
+/// A move of a model's new sessions from its current version to another.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct RolloutSpec {
+    /// The model.
+    pub model: ModelName,
+    /// The version that is rolled out.
+    pub to: VersionName,
+    /// Share of new sessions that get it.
+    pub share: PerMille,
+}
+
+/// A plain service, by path.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct ServiceSpec {
+    /// Path prefix, with a leading slash.
+    pub path: String,
+    /// Methods that are accepted.
+    pub methods: Vec<String>,
+    /// Methods whose calls may be repeated; all others run at most once.
+    #[serde(default)]
+    pub repeatable: Vec<String>,
+    /// Over the labels of customers and sessions.
+    pub callers: Selector,
+}
+
+/// A session that operators know by name.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SessionSpec {
+    /// Its customer.
+    pub customer: CustomerName,
+    /// A version that it is to use whatever the roll-outs say.
+    #[serde(default)]
+    pub version: Option<VersionName>,
+}
+
+/// One deployable version of a model.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct VersionSpec {
+    /// Its model.
+    pub model: ModelName,
+    /// Price of 1,000 tokens in millionths of the currency.
+    pub cost_per_ktok: u64,
+    /// Quality that is believed before any rating is known.
+    pub quality: PerMille,
+    /// Weight of that belief, as a number of ratings.
+    #[serde(default = "default_prior_weight")]
+    pub quality_weight: u32,
+    /// Offset of the withdrawal in force; set by the fold.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub withdrawn_at: Option<Offset>,
+    /// What happens to streams under way when the version is withdrawn; set by the withdrawal.
+    #[serde(default)]
+    pub withdrawn_streams: StreamsOnWithdrawal,
+}
+
+fn default_prior_weight() -> u32 {
+    20
+}
+
+impl Spec {
+    /// Returns the kind's name as written in JSON.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Cascade(_) => "cascade",
+            Self::Customer(_) => "customer",
+            Self::Grant(_) => "grant",
+            Self::Model(_) => "model",
+            Self::Rollout(_) => "rollout",
+            Self::Service(_) => "service",
+            Self::Session(_) => "session",
+            Self::Version(_) => "version",
+        }
+    }
+}
+
+impl Object {
+    /// Returns the key under which the object is kept.
+    pub fn key(&self) -> ObjectKey {
+        ObjectKey { kind: self.spec.kind().to_owned(), name: self.name.clone() }
+    }
+}
+
+/// Kind and name of an object, written `kind/name`.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(try_from = "String", into = "String")]
+pub struct ObjectKey {
+    /// The kind as written in JSON.
+    pub kind: String,
+    /// The name.
+    pub name: String,
+}
+
+impl ObjectKey {
+    /// Makes a key.
+    pub fn new(kind: &str, name: impl fmt::Display) -> Self {
+        Self { kind: kind.to_owned(), name: name.to_string() }
+    }
+}
+
+impl fmt::Display for ObjectKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.kind, self.name)
+    }
+}
+
+impl FromStr for ObjectKey {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        match text.split_once('/') {
+            Some((kind, name)) if !kind.is_empty() && !name.is_empty() => Ok(Self::new(kind, name)),
+            _ => Err(ParseIdError::new("an object's key (kind/name)", text)),
+        }
+    }
+}
+
+impl TryFrom<String> for ObjectKey {
+    type Error = ParseIdError;
+
+    fn try_from(text: String) -> Result<Self, Self::Error> {
+        text.parse()
+    }
+}
+
+impl From<ObjectKey> for String {
+    fn from(key: ObjectKey) -> Self {
+        key.to_string()
+    }
+}
--- /dev/null
+++ b/core/src/error.rs
@@ -0,0 +1,147 @@
+//! The closed list of error kinds, and the one table from kind to answer.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+use crate::ids::Millis;
+
+/// What is known of a request that was not answered.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RunState {
+    /// It may have reached a backend server.
+    MayHaveRun,
+    /// It never reached a backend server.
+    NotRun,
+    /// A backend server ran it.
+    Ran,
+}
+
+impl fmt::Display for RunState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::MayHaveRun => "may_have_run",
+            Self::NotRun => "not_run",
+            Self::Ran => "ran",
+        })
+    }
+}
+
+/// The answer that an error kind leads to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ErrorRow {
+    /// HTTP status.
+    pub status: u16,
+    /// Machine-readable code in the answer's body.
+    pub code: &'static str,
+    /// What the caller may conclude about the run.
+    pub run: RunState,
+    /// Earliest time at which a repeat makes sense; `None` if a repeat cannot help.
+    pub retry_after: Option<Millis>,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $kind:ident => $status:literal, $code:literal, $run:ident, $after:expr;)*) => {
+        /// Every way in which a request can end without its answer.
+        #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+        #[serde(rename_all = "snake_case")]
+        pub enum ErrorKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &[Self] = &[$(Self::$kind,)*];
+
+            /// Returns the kind's row of the table.
+            ///
+            /// ```
+            /// use redwingfold_core::{ErrorKind, RunState};
+            /// let row = ErrorKind::Overloaded.row();
+            /// assert_eq!((row.status, row.run), (429, RunState::NotRun));
+            /// ```
+            pub const fn row(self) -> ErrorRow {
+                match self {
+                    $(Self::$kind => ErrorRow {
+                        status: $status,
+                        code: $code,
+                        run: RunState::$run,
+                        retry_after: $after,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+const fn ms(n: u64) -> Option<Millis> {
+    Some(Millis(n))
+}
+
+error_kinds! {
+    /// The request is not well-formed HTTP or JSON.
+    BadRequest => 400, "bad_request", NotRun, None;
+    /// The customer's key is missing or wrong.
+    BadKey => 401, "bad_key", NotRun, None;
+    /// The customer may not use the version or service.
+    NotAllowed => 403, "not_allowed", NotRun, None;
+    /// No service has this path.
+    UnknownPath => 404, "unknown_path", NotRun, None;
+    /// No model, version or cascade has this name.
+    UnknownModel => 404, "unknown_model", NotRun, None;
+    /// The path exists, but not with this method.
+    WrongMethod => 405, "wrong_method", NotRun, None;
+    /// The sender took too long to send the request.
+    SlowSender => 408, "slow_sender", NotRun, ms(1_000);
+    /// The request with this idempotency key is running elsewhere.
+    StillRunning => 409, "still_running", MayHaveRun, ms(2_000);
+    /// Another request with this key was sent on, and its outcome is not known.
+    OutcomeUnknown => 409, "outcome_unknown", MayHaveRun, None;
+    /// The body is larger than the limit.
+    BodyTooLarge => 413, "body_too_large", NotRun, None;
+    /// The head is larger than the limit.
+    HeadTooLarge => 431, "head_too_large", NotRun, None;
+    /// The customer's queue is full, or the deadline cannot be met.
+    Overloaded => 429, "overloaded", NotRun, ms(1_000);
+    /// The deadline passed while the request waited.
+    DeadlinePassed => 504, "deadline_passed", NotRun, ms(1_000);
+    /// The deadline passed after the request had been sent on.
+    DeadlineInRun => 504, "deadline_in_run", MayHaveRun, ms(1_000);
+    /// Every version that the customer may use is withdrawn.
+    Withdrawn => 503, "version_withdrawn", NotRun, ms(30_000);
+    /// No backend server that may serve the request can be reached.
+    NoBackend => 503, "no_backend", NotRun, ms(2_000);
+    /// The process is stopping.
+    Stopping => 503, "stopping", NotRun, ms(1_000);
+    /// No configuration has been read yet.
+    NoConfig => 503, "no_config", NotRun, ms(2_000);
+    /// The log service cannot be reached, and the request needs a record in it first.
+    LogAway => 503, "log_away", NotRun, ms(5_000);
+    /// Records that wait for the log service fill their memory.
+    BacklogFull => 503, "backlog_full", NotRun, ms(30_000);
+    /// Too many open connections or requests.
+    TooManyOpen => 503, "too_many_open", NotRun, ms(1_000);
+    /// A peer sent a frame that cannot be read.
+    TornFrame => 502, "torn_frame", MayHaveRun, ms(1_000);
+    /// The way to the backend server broke after the request had been sent on.
+    BackendLost => 502, "backend_lost", MayHaveRun, ms(1_000);
+    /// The backend server answered with an error.
+    BackendFailed => 502, "backend_failed", Ran, ms(1_000);
+    /// A record of the log cannot be read or is of an unknown kind; the fold passes over it.
+    BadRecord => 422, "bad_record", NotRun, None;
+    /// An object refers to one that does not exist, or has a value out of range.
+    BadObject => 422, "bad_object", NotRun, None;
+    /// A selector matches nothing.
+    EmptySelector => 422, "empty_selector", NotRun, None;
+    /// A change expected another revision: somebody was faster.
+    RevisionMoved => 409, "revision_moved", NotRun, None;
+    /// A process without a certificate of the fleet, or with another protocol version.
+    BadPeer => 502, "bad_peer", NotRun, ms(5_000);
+}
+
+impl fmt::Display for ErrorKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.row().code)
+    }
+}
--- /dev/null
+++ b/core/src/lib.rs
@@ -0,0 +1,46 @@
+//! The decisions of redwingfold as pure functions of state, event and time.
+//!
+//! Nothing here opens a socket or a file, reads a clock or draws a random number: the caller
+//! passes the present as [`Millis`] and randomness as a number. That is what makes every decision
+//! repeatable in a test and explainable afterwards.
+
+mod balance;
+mod bill;
+mod budget;
+mod call_table;
+mod claim;
+mod config;
+mod detector;
+mod error;
+mod ids;
+mod label;
+mod outbox;
+mod pin;
+mod queue;
+mod rollout;
+mod route;
+mod subset;
+
+pub use balance::{Candidate, expected_first_token, pick};
+pub use bill::{Bill, BillFold};
+pub use budget::{ByteBudget, RetryBudget};
+pub use call_table::{CallAnswer, CallState, CallTable};
+pub use claim::{Claim, ClaimFold, Standing};
+pub use config::{
+    AuditEntry, CascadeSpec, Change, Config, CustomerSpec, Fold, GrantSpec, HostSelector,
+    ModelSpec, Object, ObjectKey, RULES, Record, RolloutSpec, SeenIds, SelectorMatch, ServiceSpec,
+    SessionSpec, Snapshot, Spec, Stored, StreamsOnWithdrawal, Verdict, VersionSpec, Withdrawal,
+};
+pub use detector::{Detector, Health, Policy};
+pub use error::{ErrorKind, ErrorRow, RunState};
+pub use ids::{
+    ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis, ModelName, Offset,
+    ParseIdError, PerMille, RequestId, SessionId, VersionName,
+};
+pub use label::{Labels, ParseSelectorError, Selector};
+pub use outbox::{Outbox, OutboxFull};
+pub use pin::{Pin, PinKey, PinTable};
+pub use queue::{FairQueue, QueueLimits, Waiting};
+pub use rollout::{SequentialTest, Tally, TestVerdict};
+pub use route::{Denied, Plan, choose_version, plan, session_share};
+pub use subset::{Member, is_log_reader, pin_holders, rank, subset};
--- /dev/null
+++ b/core/src/route.rs
@@ -0,0 +1,228 @@
+//! Which version may and should answer a request.
+
+use crate::config::{Config, ObjectKey, Spec, VersionSpec};
+use crate::error::ErrorKind;
+use crate::ids::{CustomerName, ModelName, PerMille, SessionId, VersionName};
+use crate::label::Labels;
+
+/// Why no version may answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Denied {
+    /// The kind of answer.
+    pub kind: ErrorKind,
+    /// What was looked at.
+    pub why: String,
+}
+
+/// The versions that may answer a request, in the order in which to try them.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Plan {
+    /// One version for each step.
+    pub steps: Vec<VersionName>,
+    /// Quality to reach before the next step is left out; `None` if the first answer is final.
+    pub target: Option<PerMille>,
+}
+
+impl Config {
+    /// Returns a version's declaration.
+    pub fn version(&self, name: &VersionName) -> Option<&VersionSpec> {
+        match &self.objects.get(&ObjectKey::new("version", name))?.object.spec {
+            Spec::Version(version) => Some(version),
+            _ => None,
+        }
+    }
+
+    /// Returns the customer that owns a key, given the key's SHA-256 as lower-case hex.
+    pub fn customer_of_key(&self, sha256: &str) -> Option<CustomerName> {
+        self.of_kind("customer").find_map(|(key, spec)| match spec {
+            Spec::Customer(c) if c.key_sha256.iter().any(|k| k == sha256) => key.name.parse().ok(),
+            _ => None,
+        })
+    }
+
+    /// Returns the objects of one kind.
+    pub fn of_kind<'a>(&'a self, kind: &'a str) -> impl Iterator<Item = (&'a ObjectKey, &'a Spec)> {
+        self.objects
+            .range(ObjectKey::new(kind, "")..)
+            .take_while(move |(key, _)| key.kind == kind)
+            .map(|(key, stored)| (key, &stored.object.spec))
+    }
+
+    /// Returns the labels that grants are matched against.
+    pub fn caller_labels(&self, customer: &CustomerName, session: Option<&SessionId>) -> Labels {
+        let mut labels = self.labels_of("customer", customer.as_str());
+        labels.insert("customer".to_owned(), customer.to_string());
+        if let Some(session) = session {
+            match self.objects.get(&ObjectKey::new("session", session)) {
+                Some(stored) if is_session_of(&stored.object.spec, customer) => {
+                    labels.extend(stored.object.labels.clone());
+                }
+                _ => {}
+            }
+            labels.insert("session".to_owned(), session.to_string());
+        }
+        labels
+    }
+
+    /// Returns the labels of a version, with its name and model added.
+    pub fn version_labels(&self, name: &VersionName) -> Labels {
+        let mut labels = self.labels_of("version", name.as_str());
+        labels.insert("version".to_owned(), name.to_string());
+        if let Some(version) = self.version(name) {
+            labels.insert("model".to_owned(), version.model.to_string());
+        }
+        labels
+    }
+
+    fn labels_of(&self, kind: &str, name: &str) -> Labels {
+        match self.objects.get(&ObjectKey::new(kind, name)) {
+            Some(stored) => stored.object.labels.clone(),
+            None => Labels::new(),
+        }
+    }
+
+    /// Checks that a caller may use a version now.
+    ///
+    /// Entry and side both ask this, each of the newest configuration that it has.
+    ///
+    /// # Errors
+    ///
+    /// [`ErrorKind::UnknownModel`], [`ErrorKind::Withdrawn`] or [`ErrorKind::NotAllowed`].
+    pub fn may_run(
+        &self,
+        customer: &CustomerName,
+        session: Option<&SessionId>,
+        version: &VersionName,
+    ) -> Result<(), ErrorKind> {
+        let spec = self.version(version).ok_or(ErrorKind::UnknownModel)?;
+        let callers = self.caller_labels(customer, session);
+        let labels = self.version_labels(version);
+        let granted = self.of_kind("grant").any(|(_, spec)| match spec {
+            Spec::Grant(g) => g.callers.matches(&callers) && g.versions.matches(&labels),
+            _ => false,
+        });
+        match spec.withdrawn_at {
+            _ if !granted => Err(ErrorKind::NotAllowed),
+            Some(_) => Err(ErrorKind::Withdrawn),
+            None => Ok(()),
+        }
+    }
+
+    fn pinned_by_operator(
+        &self,
+        customer: &CustomerName,
+        session: Option<&SessionId>,
+        model: &ModelName,
+    ) -> Option<VersionName> {
+        let stored = self.objects.get(&ObjectKey::new("session", session?))?;
+        match &stored.object.spec {
+            Spec::Session(s) if s.customer == *customer => s
+                .version
+                .clone()
+                .filter(|version| self.version(version).is_some_and(|v| v.model == *model)),
+            _ => None,
+        }
+    }
+}
+
+fn is_session_of(spec: &Spec, customer: &CustomerName) -> bool {
+    matches!(spec, Spec::Session(s) if s.customer == *customer)
+}
+
+/// Returns the point of a session in 0..1000; a roll-out at share `s` takes sessions below `s`.
+///
+/// It depends on the session alone, so that entries which do not know each other agree, and a
+/// session whose pin was lost is most likely given the same version again.
+pub fn session_share(model: &ModelName, who: &str) -> PerMille {
+    let text = format!("{model}\0{who}");
+    PerMille((xxhash_rust::xxh3::xxh3_64(text.as_bytes()) % 1000) as u16)
+}
+
+/// Chooses the version of one model for a new session, or for a request without one.
+///
+/// `who` is the session id, or the request id where there is no session.
+///
+/// # Errors
+///
+/// The kind that keeps the last candidate out.
+pub fn choose_version(
+    config: &Config,
+    customer: &CustomerName,
+    session: Option<&SessionId>,
+    model: &ModelName,
+    who: &str,
+) -> Result<VersionName, ErrorKind> {
+    let current = match config.objects.get(&ObjectKey::new("model", model)) {
+        Some(stored) => match &stored.object.spec {
+            Spec::Model(spec) => spec.current.clone(),
+            _ => return Err(ErrorKind::UnknownModel),
+        },
+        None => return Err(ErrorKind::UnknownModel),
+    };
+    let point = session_share(model, who);
+    let rolled = config.of_kind("rollout").find_map(|(_, spec)| match spec {
+        Spec::Rollout(r) if r.model == *model && point < r.share => Some(r.to.clone()),
+        _ => None,
+    });
+    let pinned = config.pinned_by_operator(customer, session, model);
+    let mut last = ErrorKind::UnknownModel;
+    for version in pinned.into_iter().chain(rolled).chain([current]) {
+        match config.may_run(customer, session, &version) {
+            Ok(()) => return Ok(version),
+            Err(kind) => last = kind,
+        }
+    }
+    Err(last)
+}
+
+/// Plans the versions that may answer a request for `name`: a version, a model or a cascade.
+///
+/// `quality` gives the lower confidence bound of a version's quality for this kind of request.
+/// Steps of a cascade that are not expected to reach the target are left out, but for the last.
+///
+/// # Errors
+///
+/// [`Denied`] if no step may run.
+pub fn plan(
+    config: &Config,
+    customer: &CustomerName,
+    session: Option<&SessionId>,
+    name: &str,
+    who: &str,
+    quality: impl Fn(&VersionName, &VersionSpec) -> PerMille,
+) -> Result<Plan, Denied> {
+    let denied = |kind: ErrorKind| Denied { kind, why: format!("{name}: {kind}") };
+    if let Some(stored) = config.objects.get(&ObjectKey::new("cascade", name))
+        && let Spec::Cascade(cascade) = &stored.object.spec
+    {
+        let mut last = ErrorKind::UnknownModel;
+        let mut steps = Vec::new();
+        for model in &cascade.models {
+            match choose_version(config, customer, session, model, who) {
+                Ok(version) => steps.push(version),
+                Err(kind) => last = kind,
+            }
+        }
+        if steps.is_empty() {
+            return Err(denied(last));
+        }
+        let cost = |v: &VersionName| config.version(v).map_or(u64::MAX, |spec| spec.cost_per_ktok);
+        steps.sort_by_key(|v| cost(v));
+        let good = |v: &VersionName| {
+            config.version(v).is_some_and(|spec| quality(v, spec) >= cascade.target)
+        };
+        // The cheapest step that is believed good comes first; what is dearer stays as escalation.
+        let first = steps.iter().position(good).unwrap_or(0);
+        steps.drain(..first);
+        return Ok(Plan { steps, target: Some(cascade.target) });
+    }
+    if config.objects.contains_key(&ObjectKey::new("model", name))
+        && let Ok(model) = name.parse()
+    {
+        let version = choose_version(config, customer, session, &model, who).map_err(denied)?;
+        return Ok(Plan { steps: vec![version], target: None });
+    }
+    let version: VersionName = name.parse().map_err(|_| denied(ErrorKind::UnknownModel))?;
+    config.may_run(customer, session, &version).map_err(denied)?;
+    Ok(Plan { steps: vec![version], target: None })
+}
--- /dev/null
+++ b/core/src/subset.rs
@@ -0,0 +1,77 @@
+//! Who talks to whom: stable, bounded subsets by rendezvous hashing, spread over failure domains.
+
+use crate::ids::{FailureDomain, HostId};
+use crate::pin::PinKey;
+
+/// A host as far as the choice of peers goes.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Member {
+    /// The host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+}
+
+fn score(seed: &str, host: &HostId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64(format!("{seed}\0{host}").as_bytes())
+}
+
+/// Ranks members for a seed, so that the first few are in different failure domains.
+///
+/// Each domain is ranked by hash, then the best of each, the second best of each and so on are
+/// taken in turn. A member that comes or goes moves only itself and those behind it in its domain.
+///
+/// ```
+/// use redwingfold_core::{Member, rank};
+/// let member = |host: &str, domain: &str| Member {
+///     host: host.parse().unwrap(),
+///     domain: domain.parse().unwrap(),
+/// };
+/// let all = [member("a1", "a"), member("a2", "a"), member("b1", "b")];
+/// let ranked = rank("seed", &all);
+/// assert_ne!(ranked[0].domain, ranked[1].domain);
+/// ```
+pub fn rank<'a>(seed: &str, members: &'a [Member]) -> Vec<&'a Member> {
+    let mut scored: Vec<_> = members.iter().map(|m| (score(seed, &m.host), m)).collect();
+    scored.sort_by(|a, b| (b.0, &b.1.host).cmp(&(a.0, &a.1.host)));
+    let mut depth = std::collections::HashMap::new();
+    let mut layered: Vec<_> = scored
+        .into_iter()
+        .map(|(score, member)| {
+            let layer = depth.entry(&member.domain).or_insert(0_usize);
+            *layer += 1;
+            (*layer, score, member)
+        })
+        .collect();
+    layered.sort_by(|a, b| (a.0, b.1, &a.2.host).cmp(&(b.0, a.1, &b.2.host)));
+    layered.into_iter().map(|(_, _, member)| member).collect()
+}
+
+/// Returns the peers that `own` connects to: at most `max`, spread over failure domains.
+pub fn subset<'a>(own: &HostId, members: &'a [Member], max: usize) -> Vec<&'a Member> {
+    let mut ranked = rank(own.as_str(), members);
+    ranked.retain(|m| m.host != *own);
+    ranked.truncate(max);
+    ranked
+}
+
+/// Says whether `own` is among the `per_domain` members of its failure domain that read the log
+/// for the others.
+pub fn is_log_reader(own: &Member, members: &[Member], per_domain: usize) -> bool {
+    let mut scores: Vec<_> = members
+        .iter()
+        .filter(|m| m.domain == own.domain && m.host != own.host)
+        .map(|m| score("log-reader", &m.host))
+        .collect();
+    scores.sort_unstable_by(|a, b| b.cmp(a));
+    let mine = score("log-reader", &own.host);
+    scores.iter().take_while(|s| **s > mine).count() < per_domain
+}
+
+/// Returns the hosts that hold a session's pin, the first to be asked first.
+pub fn pin_holders<'a>(key: &PinKey, members: &'a [Member], copies: usize) -> Vec<&'a Member> {
+    let seed = format!("pin\0{}\0{}\0{}", key.customer, key.session, key.name);
+    let mut ranked = rank(&seed, members);
+    ranked.truncate(copies);
+    ranked
+}
--- /dev/null
+++ b/http/src/conn.rs
@@ -0,0 +1,110 @@
+//! A server's connection, with what async-h1 does not watch: bytes before a request, and a peer
+//! that goes away.
+
+use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::task::{Context, Poll, ready};
+
+use futures_lite::{AsyncRead, AsyncWrite};
+use smol::net::TcpStream;
+
+/// Bytes that are read before a request's head must have ended.
+///
+/// async-h1 refuses heads over 8 KiB, but looks only at the end of a line: a head of one endless
+/// line would grow in memory until the timeout.
+const MAX_BEFORE_HEAD: usize = 24 * 1024;
+
+/// Head size at which async-h1 gives up.
+pub(crate) const MAX_HEAD: usize = 8 * 1024;
+
+#[derive(Debug, Default)]
+pub(crate) struct State {
+    /// Bytes read since the last request ended.
+    pub(crate) bytes: AtomicUsize,
+    /// Whether the head of the present request has been read.
+    pub(crate) in_request: AtomicBool,
+    /// Whether the rest of the request's body is to be taken for read.
+    pub(crate) skip_body: AtomicBool,
+    /// Whether the peer has closed its end.
+    pub(crate) at_end: AtomicBool,
+}
+
+#[derive(Clone, Debug)]
+pub(crate) struct Conn {
+    pub(crate) stream: TcpStream,
+    pub(crate) state: Arc<State>,
+}
+
+impl AsyncRead for Conn {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        if self.state.skip_body.load(Ordering::Relaxed) {
+            return Poll::Ready(Ok(0));
+        }
+        let n = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        let before = self.state.bytes.fetch_add(n, Ordering::Relaxed);
+        match n {
+            0 => self.state.at_end.store(true, Ordering::Relaxed),
+            _ if self.state.in_request.load(Ordering::Relaxed) => {}
+            n if before + n > MAX_BEFORE_HEAD => {
+                return Poll::Ready(Err(io::Error::new(
+                    io::ErrorKind::InvalidData,
+                    "endless head",
+                )));
+            }
+            _ => {}
+        }
+        Poll::Ready(Ok(n))
+    }
+}
+
+impl AsyncWrite for Conn {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
+/// The other end of a connection, as a handler sees it.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    pub(crate) conn: Conn,
+    /// Its address.
+    pub addr: SocketAddr,
+}
+
+impl Peer {
+    /// Waits until the caller has closed its end. Ask only once the request's body has been read.
+    ///
+    /// A write notices a caller that went away, but while nothing is written, as before a first
+    /// token, engine time would be spent for nobody.
+    pub async fn gone(&self) {
+        let mut buf = [0; 1];
+        match self.conn.stream.peek(&mut buf).await {
+            Ok(n) if n > 0 => std::future::pending().await,
+            _ => {}
+        }
+    }
+
+    /// Leaves the rest of the request's body unread and closes the connection after the answer.
+    pub fn skip_body(&self) {
+        self.conn.state.skip_body.store(true, Ordering::Relaxed);
+    }
+}
--- /dev/null
+++ b/http/src/server.rs
@@ -0,0 +1,225 @@
+//! Accepting connections, within limits, until a drain ends.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::Duration;
+
+use async_h1::server::{ConnectionStatus, Server};
+use futures_lite::{AsyncWriteExt, FutureExt};
+use http_types::{Request, Response, StatusCode, headers};
+use smol::Timer;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::conn::{Conn, MAX_HEAD, Peer, State};
+
+/// Bounds of what callers may take up.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Open connections.
+    pub connections: usize,
+    /// Time for the head of a request, and between requests on a connection.
+    pub head_timeout: Duration,
+}
+
+/// A refusal that is made before a handler sees the request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// The head is no HTTP/1.1.
+    BadRequest,
+    /// The head is too large.
+    HeadTooLarge,
+    /// The head took too long.
+    SlowSender,
+    /// Too many connections.
+    TooManyOpen,
+}
+
+/// A graceful shutdown: counts what is under way and asks connections to close.
+#[derive(Clone, Debug, Default)]
+pub struct Drain(Arc<DrainState>);
+
+#[derive(Debug, Default)]
+struct DrainState {
+    draining: AtomicBool,
+    open: AtomicUsize,
+    under_way: AtomicUsize,
+}
+
+impl Drain {
+    /// Begins the drain: from now on each answer closes its connection.
+    pub fn begin(&self) {
+        self.0.draining.store(true, Ordering::SeqCst);
+    }
+
+    /// Says whether the drain has begun.
+    pub fn is_draining(&self) -> bool {
+        self.0.draining.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of requests under way.
+    pub fn under_way(&self) -> usize {
+        self.0.under_way.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.0.open.load(Ordering::SeqCst)
+    }
+}
+
+struct Count<'a>(&'a AtomicUsize);
+
+impl<'a> Count<'a> {
+    fn new(count: &'a AtomicUsize) -> Self {
+        count.fetch_add(1, Ordering::SeqCst);
+        Self(count)
+    }
+}
+
+impl Drop for Count<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+/// Makes the plain answer to a refusal; a server passes its own to [`serve`].
+pub fn refusal(kind: Refusal) -> Response {
+    let status = match kind {
+        Refusal::BadRequest => StatusCode::BadRequest,
+        Refusal::HeadTooLarge => StatusCode::RequestHeaderFieldsTooLarge,
+        Refusal::SlowSender => StatusCode::RequestTimeout,
+        Refusal::TooManyOpen => StatusCode::ServiceUnavailable,
+    };
+    Response::new(status)
+}
+
+/// Serves connections for ever; the caller drops the future to stop.
+pub async fn serve<F, Fut, R>(
+    listener: TcpListener,
+    limits: Limits,
+    drain: Drain,
+    refuse: R,
+    handler: F,
+) where
+    F: Fn(Request, Peer) -> Fut + Clone + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+    R: Fn(Refusal) -> Response + Clone + Send + Sync + 'static,
+{
+    loop {
+        let Ok((stream, addr)) = listener.accept().await else {
+            // Out of file descriptors, most likely: wait for some to be closed rather than spin.
+            Timer::after(Duration::from_millis(10)).await;
+            continue;
+        };
+        // Small writes would wait for the peer's delayed acknowledgement, some 40 ms a request.
+        stream.set_nodelay(true).ok();
+        let (drain, handler, refuse) = (drain.clone(), handler.clone(), refuse.clone());
+        smol::spawn(async move {
+            let _open = Count::new(&drain.0.open);
+            if drain.open() > limits.connections {
+                write_refusal(stream, refuse(Refusal::TooManyOpen)).await;
+                return;
+            }
+            serve_connection(stream, addr, limits, &drain, refuse, handler).await;
+        })
+        .detach();
+    }
+}
+
+async fn serve_connection<F, Fut, R>(
+    stream: TcpStream,
+    addr: SocketAddr,
+    limits: Limits,
+    drain: &Drain,
+    refuse: R,
+    handler: F,
+) where
+    F: Fn(Request, Peer) -> Fut + Send + Sync + 'static,
+    Fut: Future<Output = Response> + Send + 'static,
+    R: Fn(Refusal) -> Response,
+{
+    let conn = Conn { stream, state: Arc::new(State::default()) };
+    loop {
+        let state = conn.state.clone();
+        state.bytes.store(0, Ordering::Relaxed);
+        state.in_request.store(false, Ordering::Relaxed);
+        let peer = Peer { conn: conn.clone(), addr };
+        let endpoint = |req: Request| {
+            state.in_request.store(true, Ordering::Relaxed);
+            // Boxed: a future is copied into each that awaits it, and a handler's is large. Tens of
+            // kilobytes became half a megabyte a connection, and overflowed the thread's stack.
+            let answer = Box::pin(handler(req, peer.clone()));
+            let (state, drain) = (state.clone(), drain.clone());
+            async move {
+                let mut res = answer.await;
+                if drain.is_draining() || state.skip_body.load(Ordering::Relaxed) {
+                    res.insert_header(headers::CONNECTION, "close");
+                }
+                Ok(res)
+            }
+        };
+        let mut server = Server::new(conn.clone(), endpoint);
+        let served = under_way(server.accept_one(), &state, drain);
+        let late = async {
+            head_timeout(&state, limits.head_timeout).await;
+            None
+        };
+        let outcome = async { Some(served.await) }.or(late).await;
+        let in_request = state.in_request.load(Ordering::Relaxed);
+        let bytes = state.bytes.load(Ordering::Relaxed);
+        let refused = match outcome {
+            Some(Ok(ConnectionStatus::KeepAlive)) => continue,
+            _ if in_request || bytes == 0 => break,
+            Some(Ok(ConnectionStatus::Close)) => break,
+            Some(Err(_)) if bytes >= MAX_HEAD => Refusal::HeadTooLarge,
+            Some(Err(_)) => Refusal::BadRequest,
+            None => Refusal::SlowSender,
+        };
+        write_refusal(conn.stream.clone(), refuse(refused)).await;
+        break;
+    }
+}
+
+/// Counts a request as under way from its first byte until its answer is written.
+async fn under_way<T>(served: impl Future<Output = T>, state: &State, drain: &Drain) -> T {
+    let mut served = std::pin::pin!(served);
+    let mut count = None;
+    std::future::poll_fn(|cx| {
+        let polled = served.as_mut().poll(cx);
+        if count.is_none() && state.bytes.load(Ordering::Relaxed) > 0 {
+            count = Some(Count::new(&drain.0.under_way));
+        }
+        polled
+    })
+    .await
+}
+
+/// Ends when the head has taken too long; never while a request is being answered.
+async fn head_timeout(state: &State, timeout: Duration) {
+    Timer::after(timeout).await;
+    if state.in_request.load(Ordering::Relaxed) {
+        std::future::pending::<()>().await;
+    }
+}
+
+async fn write_refusal(mut stream: TcpStream, mut res: Response) {
+    res.insert_header(headers::CONNECTION, "close");
+    let mut encoder = async_h1::server::Encoder::new(res, http_types::Method::Get);
+    if futures_lite::io::copy(&mut encoder, &mut stream).await.is_ok() {
+        stream.close().await.ok();
+    }
+    // Closing with unread bytes would reset the connection and could take the answer with it.
+    let mut rest = [0; 1024];
+    let drained = async {
+        while matches!(futures_lite::AsyncReadExt::read(&mut stream, &mut rest).await, Ok(n) if n > 0)
+        {
+        }
+    };
+    drained
+        .or(async {
+            Timer::after(Duration::from_millis(500)).await;
+        })
+        .await;
+}
--- /dev/null
+++ b/src/config_store/feed.rs
@@ -0,0 +1,142 @@
+//! Reads the configuration stream, and writes snapshots before its records expire.
+
+use redwingfold_core::{Millis, Offset, Snapshot};
+use smol::Timer;
+
+use super::store::ConfigStore;
+use crate::clock::{jittered, span};
+use crate::platform::{LogClient, LogError, stream};
+use crate::settings::LogSettings;
+use crate::telemetry::Telemetry;
+
+const PAGE: usize = 500;
+const MAX_BACKOFF: Millis = Millis(5_000);
+const MIN_BACKOFF: Millis = Millis(100);
+
+/// Follows the configuration stream for ever.
+///
+/// `is_relaxed` says whether this daemon gets the configuration from its peers; it then reads only
+/// now and then, so that hundreds of daemons do not all wait at the log service.
+pub(crate) async fn feed(
+    store: &ConfigStore,
+    log: &LogClient,
+    settings: &LogSettings,
+    telemetry: &Telemetry,
+    is_relaxed: impl Fn() -> bool,
+) {
+    let mut backoff = MIN_BACKOFF;
+    loop {
+        let from = Offset(store.mark().offset.0 + 1);
+        let relaxed = from.0 > 1 && is_relaxed();
+        let wait = if relaxed { Millis(0) } else { settings.wait_ms };
+        match log.read(stream::CONFIG, from, PAGE, wait).await {
+            Ok(page) => {
+                backoff = MIN_BACKOFF;
+                if page.first > from && !load_snapshot(store, log).await {
+                    telemetry.warn(
+                        "config_gap",
+                        &[
+                            ("from", &from),
+                            ("first", &page.first),
+                            ("why", &"no snapshot covers it"),
+                        ],
+                    );
+                    Timer::after(jittered(MAX_BACKOFF)).await;
+                }
+                store.apply(&page.records);
+            }
+            Err(e) => {
+                telemetry.count("log.read_failed", 1);
+                telemetry.warn("log_read_failed", &[("stream", &stream::CONFIG), ("why", &e)]);
+                let at_least = match e {
+                    LogError::Refused { retry_after, .. } => retry_after,
+                    LogError::Unknown(_) => MIN_BACKOFF,
+                };
+                Timer::after(jittered(Millis(backoff.0.max(at_least.0)))).await;
+                backoff = Millis((backoff.0 * 2).min(MAX_BACKOFF.0));
+            }
+        }
+        if relaxed {
+            Timer::after(jittered(settings.relaxed_ms)).await;
+        }
+    }
+}
+
+/// Reads the configuration stream up to its end, once.
+pub(crate) async fn read_all(store: &ConfigStore, log: &LogClient) -> Result<(), LogError> {
+    loop {
+        let from = Offset(store.mark().offset.0 + 1);
+        let page = log.read(stream::CONFIG, from, PAGE, Millis(0)).await?;
+        if page.first > from && !load_snapshot(store, log).await {
+            let why = format!("records before {} are gone and no snapshot covers them", page.first);
+            return Err(LogError::Unknown(why));
+        }
+        store.apply(&page.records);
+        if store.mark().offset.0 + 1 >= page.next.0 {
+            return Ok(());
+        }
+    }
+}
+
+/// Installs the newest snapshot of the log; says whether there was a newer one.
+async fn load_snapshot(store: &ConfigStore, log: &LogClient) -> bool {
+    let Ok(tail) = log.read(stream::SNAPSHOTS, Offset(u64::MAX), 1, Millis(0)).await else {
+        return false;
+    };
+    let from = Offset(tail.next.0.saturating_sub(1).max(1));
+    let Ok(page) = log.read(stream::SNAPSHOTS, from, 8, Millis(0)).await else {
+        return false;
+    };
+    let snapshots = page.records.iter().rev();
+    let newest =
+        snapshots.filter_map(|(_, raw)| serde_json::from_slice::<Snapshot>(raw).ok()).next();
+    newest.is_some_and(|snapshot| store.install(snapshot))
+}
+
+/// Writes a snapshot whenever the configuration has moved far enough since the last one.
+///
+/// Any daemon that reads the log may write one, and two do no harm. Each waits a random while and
+/// looks whether another was faster.
+pub(crate) async fn write_snapshots(
+    store: &ConfigStore,
+    log: &LogClient,
+    settings: &LogSettings,
+    telemetry: &Telemetry,
+    is_reader: impl Fn() -> bool,
+) {
+    let mut covered = Offset(0);
+    loop {
+        let changed = store.changed();
+        let offset = store.mark().offset;
+        if offset.0 < covered.0 + settings.snapshot_every || !is_reader() {
+            changed.recv().await.ok();
+            continue;
+        }
+        Timer::after(jittered(Millis(2_000))).await;
+        covered = newest_snapshot(log).await.unwrap_or(covered);
+        if offset.0 < covered.0 + settings.snapshot_every {
+            continue;
+        }
+        let snapshot = store.snapshot();
+        let json = serde_json::to_vec(&snapshot).unwrap_or_default();
+        match log.append(stream::SNAPSHOTS, json).await {
+            Ok(_) => {
+                covered = snapshot.config.offset;
+                telemetry.info("snapshot_written", &[("offset", &covered)]);
+            }
+            // One that took effect without an answer is found at the next look.
+            Err(e) => {
+                telemetry.warn("snapshot_failed", &[("why", &e)]);
+                Timer::after(span(MAX_BACKOFF)).await;
+            }
+        }
+    }
+}
+
+async fn newest_snapshot(log: &LogClient) -> Option<Offset> {
+    let tail = log.read(stream::SNAPSHOTS, Offset(u64::MAX), 1, Millis(0)).await.ok()?;
+    let from = Offset(tail.next.0.saturating_sub(1).max(1));
+    let page = log.read(stream::SNAPSHOTS, from, 1, Millis(0)).await.ok()?;
+    let (_, raw) = page.records.last()?;
+    serde_json::from_slice::<Snapshot>(raw).ok().map(|s| s.config.offset)
+}
--- /dev/null
+++ b/src/config_store/mod.rs
@@ -0,0 +1,7 @@
+//! The configuration in force in this process, and how it stays up to date.
+
+mod feed;
+mod store;
+
+pub(crate) use feed::{feed, read_all, write_snapshots};
+pub(crate) use store::{Catchup, ConfigStore};
--- /dev/null
+++ b/src/ctl/check.rs
@@ -0,0 +1,75 @@
+//! Checking objects before they are published.
+
+use std::path::PathBuf;
+
+use redwingfold_core::{Config, ErrorKind, SelectorMatch};
+use serde_json::json;
+
+use super::Exit;
+use super::context::Ctl;
+use super::objects::read_objects;
+use super::table::{print, print_json};
+
+/// What a check found: the code of the closed table, and where.
+#[derive(Clone, Debug)]
+pub(crate) struct Finding {
+    pub(crate) kind: ErrorKind,
+    pub(crate) what: String,
+}
+
+/// Returns what is wrong with a configuration.
+pub(crate) fn findings(config: &Config) -> Vec<Finding> {
+    let objects = config.problems().into_iter();
+    let objects = objects.map(|what| Finding { kind: ErrorKind::BadObject, what });
+    let empty = config.selector_matches().into_iter().filter(|m| m.matched.is_empty());
+    let empty = empty.map(|m| Finding {
+        kind: ErrorKind::EmptySelector,
+        what: format!("{}: {} {:?} matches nothing", m.object, m.field, m.selector),
+    });
+    objects.chain(empty).collect()
+}
+
+/// Checks the objects of files, as if they were published now.
+pub(crate) async fn check_files(
+    ctl: Option<&Ctl>,
+    files: &[PathBuf],
+    explain: bool,
+    json: bool,
+) -> eyre::Result<Exit> {
+    let objects = read_objects(files)?;
+    let base = match ctl {
+        Some(ctl) => (*ctl.config().await?).clone(),
+        None => Config::default(),
+    };
+    let config = base.with(&objects, &[]);
+    let findings = findings(&config);
+    let matches = if explain { config.selector_matches() } else { Vec::new() };
+    match json {
+        true => print_json(&json!({
+            "objects": objects.len(),
+            "findings": findings.iter().map(|f| json!({"code": f.kind.row().code, "what": f.what})).collect::<Vec<_>>(),
+            "selectors": matches.iter().map(|m| json!({
+                "object": m.object, "field": m.field, "selector": m.selector, "matched": m.matched,
+            })).collect::<Vec<_>>(),
+        }))?,
+        false => {
+            print_matches(&matches);
+            for finding in &findings {
+                println!("{}: {}", finding.kind, finding.what);
+            }
+            println!("{} objects, {} findings", objects.len(), findings.len());
+        }
+    }
+    Ok(if findings.is_empty() { Exit::Ok } else { Exit::Found })
+}
+
+fn print_matches(matches: &[SelectorMatch]) {
+    if matches.is_empty() {
+        return;
+    }
+    let rows = matches.iter().map(|m| {
+        let matched: Vec<_> = m.matched.iter().map(ToString::to_string).collect();
+        vec![m.object.to_string(), m.field.to_owned(), m.selector.clone(), matched.join(" ")]
+    });
+    print(&["OBJECT", "FIELD", "SELECTOR", "MATCHES"], rows.collect());
+}
--- /dev/null
+++ b/src/ctl/context.rs
@@ -0,0 +1,88 @@
+//! What the commands share.
+
+use redwingfold_core::Config;
+use redwingfold_http::Client;
+use serde_json::Value;
+
+use super::args::Args;
+use crate::config_store::{ConfigStore, read_all};
+use crate::peer::{call, dial};
+use crate::platform::{HostRecord, LogClient, read_hosts};
+use crate::settings::{CtlSettings, read};
+use crate::telemetry::Telemetry;
+use crate::tls::{TlsEnds, tls_ends};
+use crate::wire::{Call, Reply};
+
+const DAEMON_TIMEOUT: redwingfold_core::Millis = redwingfold_core::Millis(2_000);
+
+/// What the commands share.
+pub(crate) struct Ctl {
+    pub(crate) json: bool,
+    pub(crate) store: ConfigStore,
+    pub(crate) log: LogClient,
+    settings: CtlSettings,
+    tls: TlsEnds,
+}
+
+/// What a daemon said, or why it said nothing.
+pub(crate) type Said = (HostRecord, Result<Value, String>);
+
+impl Ctl {
+    pub(crate) fn open(args: &Args) -> eyre::Result<Self> {
+        let settings = read(&args.settings, &CtlSettings::example())?;
+        Ok(Self {
+            json: args.json,
+            store: ConfigStore::new(Telemetry::quiet()?),
+            log: LogClient::new(&settings.log),
+            tls: tls_ends(&settings.tls)?,
+            settings,
+        })
+    }
+
+    /// Reads the configuration in force from the log.
+    pub(crate) async fn config(&self) -> eyre::Result<std::sync::Arc<Config>> {
+        read_all(&self.store, &self.log).await.map_err(|e| eyre::eyre!("{e}"))?;
+        Ok(self.store.current())
+    }
+
+    /// Asks every daemon of the host list, all at once.
+    pub(crate) async fn ask_all(
+        &self,
+        question: &Call,
+        wanted: impl Fn(&HostRecord) -> bool,
+    ) -> eyre::Result<Vec<Said>> {
+        let address = self.settings.host_list.address;
+        let hosts = read_hosts(&Client::default(), address).await;
+        let hosts = hosts.map_err(|e| eyre::eyre!("host list at {address}: {e}"))?;
+        let asked: Vec<_> = hosts
+            .into_iter()
+            .filter(wanted)
+            .map(|host| {
+                let (config, question) = (self.tls.client.clone(), question.clone());
+                smol::spawn(async move {
+                    let said = ask(&config, &host, &question).await;
+                    (host, said)
+                })
+            })
+            .collect();
+        let mut said = Vec::new();
+        for task in asked {
+            said.push(task.await);
+        }
+        Ok(said)
+    }
+}
+
+async fn ask(
+    config: &quinn::ClientConfig,
+    host: &HostRecord,
+    question: &Call,
+) -> Result<Value, String> {
+    let dialled = dial(config, host.address, DAEMON_TIMEOUT).await;
+    let (_endpoint, conn) = dialled.map_err(|e| e.to_string())?;
+    match call(&conn, question, DAEMON_TIMEOUT).await.map_err(|e| e.to_string())? {
+        Reply::Json(json) if json.is_empty() => Ok(Value::Null),
+        Reply::Json(json) => serde_json::from_slice(&json).map_err(|e| e.to_string()),
+        other => Err(format!("answers {other:?}")),
+    }
+}
--- /dev/null
+++ b/src/ctl/objects.rs
@@ -0,0 +1,50 @@
+//! Reading objects from files.
+
+use std::collections::BTreeMap;
+use std::path::{Path, PathBuf};
+
+use eyre::Context;
+use redwingfold_core::{Object, ObjectKey};
+use sha2::{Digest, Sha256};
+
+/// Returns the SHA-256 of a customer's key.
+pub(crate) fn key_sha256(key: &str) -> String {
+    Sha256::digest(key.as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Reads the objects of files, and of the JSON files in folders; each file holds a list.
+pub(crate) fn read_objects(paths: &[PathBuf]) -> eyre::Result<Vec<Object>> {
+    let mut files = Vec::new();
+    for path in paths {
+        match path.is_dir() {
+            true => {
+                let entries = std::fs::read_dir(path)?.collect::<Result<Vec<_>, _>>()?;
+                let json = |p: &PathBuf| p.extension().is_some_and(|e| e == "json");
+                files.extend(entries.into_iter().map(|e| e.path()).filter(json));
+            }
+            false => files.push(path.clone()),
+        }
+    }
+    files.sort();
+    let mut seen = BTreeMap::<ObjectKey, PathBuf>::new();
+    let mut objects = Vec::new();
+    for file in files {
+        for object in read_file(&file)? {
+            let key = object.key();
+            if let Some(other) = seen.insert(key.clone(), file.clone()) {
+                eyre::bail!("{}: {key} stands in {} too", file.display(), other.display());
+            }
+            objects.push(object);
+        }
+    }
+    Ok(objects)
+}
+
+fn read_file(file: &Path) -> eyre::Result<Vec<Object>> {
+    let text = std::fs::read_to_string(file).wrap_err_with(|| file.display().to_string())?;
+    let mut json = serde_json::Deserializer::from_str(&text);
+    let objects: Vec<Object> = serde_path_to_error::deserialize(&mut json)
+        .map_err(|e| eyre::eyre!("{}: at {}: {}", file.display(), e.path(), e.inner()))?;
+    json.end().wrap_err_with(|| file.display().to_string())?;
+    Ok(objects)
+}
--- /dev/null
+++ b/src/ctl/table.rs
@@ -0,0 +1,20 @@
+//! Tables for people.
+
+use comfy_table::Table;
+use comfy_table::presets::NOTHING;
+
+/// Prints rows under a head.
+pub(crate) fn print(head: &[&str], rows: Vec<Vec<String>>) {
+    let mut table = Table::new();
+    table.load_preset(NOTHING).set_header(head.to_vec());
+    for row in rows {
+        table.add_row(row);
+    }
+    println!("{table}");
+}
+
+/// Prints a value as JSON.
+pub(crate) fn print_json(value: &impl serde::Serialize) -> eyre::Result<()> {
+    println!("{}", serde_json::to_string_pretty(value)?);
+    Ok(())
+}
--- /dev/null
+++ b/src/daemon.rs
@@ -0,0 +1,128 @@
+//! What every daemon has: who it is, the configuration, and the platform's services.
+
+use std::sync::{Arc, Mutex, PoisonError};
+
+use arc_swap::ArcSwap;
+use redwingfold_core::{FailureDomain, HostId, Incarnation, Member, Millis, is_log_reader};
+use redwingfold_http::Client;
+use smol::Timer;
+use smol::channel::{Receiver, Sender};
+
+use crate::clock::{Clock, jittered};
+use crate::config_store::ConfigStore;
+use crate::platform::{HostRecord, LogClient, read_hosts};
+use crate::settings::{HeartbeatSettings, HostListSettings, LogSettings};
+use crate::telemetry::Telemetry;
+use crate::wire::{Hello, PROTOCOL, Role};
+
+/// What every daemon has.
+#[derive(Debug)]
+pub(crate) struct Daemon {
+    pub(crate) host: HostId,
+    pub(crate) domain: FailureDomain,
+    pub(crate) role: Role,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) telemetry: Telemetry,
+    pub(crate) store: ConfigStore,
+    pub(crate) log: LogClient,
+    pub(crate) log_settings: LogSettings,
+    pub(crate) host_list: HostListSettings,
+    pub(crate) heartbeat: HeartbeatSettings,
+    pub(crate) http: Client,
+    pub(crate) hosts: HostView,
+}
+
+/// The newest host list, and a signal when it changes.
+#[derive(Debug, Default)]
+pub(crate) struct HostView {
+    current: ArcSwap<Vec<HostRecord>>,
+    waiters: Mutex<Vec<Sender<()>>>,
+}
+
+impl HostView {
+    pub(crate) fn current(&self) -> Arc<Vec<HostRecord>> {
+        self.current.load_full()
+    }
+
+    /// Returns a channel that is closed at the next change.
+    pub(crate) fn changed(&self) -> Receiver<()> {
+        let (tx, rx) = smol::channel::bounded(1);
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner).push(tx);
+        rx
+    }
+
+    fn set(&self, hosts: Vec<HostRecord>) -> bool {
+        if **self.current.load() == hosts {
+            return false;
+        }
+        self.current.store(Arc::new(hosts));
+        self.waiters.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        true
+    }
+}
+
+impl Daemon {
+    pub(crate) fn new(
+        (host, domain, role): (HostId, FailureDomain, Role),
+        log_settings: LogSettings,
+        host_list: HostListSettings,
+        heartbeat: HeartbeatSettings,
+        telemetry: Telemetry,
+    ) -> Self {
+        Self {
+            host,
+            domain,
+            role,
+            incarnation: Incarnation(fastrand::u64(1..)),
+            clock: Clock::default(),
+            store: ConfigStore::new(telemetry.clone()),
+            log: LogClient::new(&log_settings),
+            log_settings,
+            host_list,
+            heartbeat,
+            http: Client::default(),
+            hosts: HostView::default(),
+            telemetry,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Millis {
+        self.clock.now()
+    }
+
+    pub(crate) fn hello(&self) -> Hello {
+        Hello {
+            protocol: PROTOCOL,
+            host: self.host.clone(),
+            role: self.role,
+            incarnation: self.incarnation,
+        }
+    }
+
+    /// Says whether this daemon reads the log for others in its failure domain.
+    pub(crate) fn is_reader(&self) -> bool {
+        let members: Vec<_> = self.hosts.current().iter().map(HostRecord::member).collect();
+        let own = Member { host: self.host.clone(), domain: self.domain.clone() };
+        is_log_reader(&own, &members, self.log_settings.readers_per_domain)
+    }
+
+    /// Follows the host list for ever. An outage leaves the last list in force.
+    pub(crate) async fn follow_hosts(&self) {
+        loop {
+            match read_hosts(&self.http, self.host_list.address).await {
+                Ok(hosts) => {
+                    let count = hosts.len();
+                    if self.hosts.set(hosts) {
+                        self.telemetry.info("hosts_changed", &[("hosts", &count)]);
+                    }
+                }
+                Err(why) => {
+                    self.telemetry.count("hosts.read_failed", 1);
+                    self.telemetry.warn("hosts_read_failed", &[("why", &why)]);
+                }
+            }
+            Timer::after(jittered(self.host_list.every_ms)).await;
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/answer.rs
@@ -0,0 +1,110 @@
+//! Answers to callers.
+
+use std::sync::Arc;
+
+use redwingfold_core::{ErrorKind, Millis, RequestId, RunState, VersionName};
+use redwingfold_http::{Refusal, Response, StatusCode};
+use serde_json::json;
+
+pub(crate) const REQUEST_ID: &str = "x-request-id";
+pub(crate) const MODEL_VERSION: &str = "x-model-version";
+pub(crate) const DECISION_ID: &str = "x-decision-id";
+const RUN_STATE: &str = "x-run-state";
+const SESSION_MOVED: &str = "x-session-moved";
+
+/// A request's end without its answer.
+#[derive(Clone, Debug)]
+pub(crate) struct Failed {
+    pub(crate) kind: ErrorKind,
+    pub(crate) run: RunState,
+    pub(crate) why: String,
+    pub(crate) retry_after: Option<Millis>,
+}
+
+impl Failed {
+    pub(crate) fn new(kind: ErrorKind, why: impl Into<String>) -> Self {
+        let row = kind.row();
+        Self { kind, run: row.run, why: why.into(), retry_after: row.retry_after }
+    }
+}
+
+impl From<ErrorKind> for Failed {
+    fn from(kind: ErrorKind) -> Self {
+        Self::new(kind, "")
+    }
+}
+
+/// What is told about a request in its answer's head.
+#[derive(Clone, Debug)]
+pub(crate) struct Facts {
+    pub(crate) request: RequestId,
+    pub(crate) version: Option<VersionName>,
+    /// The version that the session had until its withdrawal.
+    pub(crate) moved_from: Option<VersionName>,
+}
+
+impl Facts {
+    pub(crate) fn new(request: RequestId) -> Arc<std::sync::Mutex<Self>> {
+        Arc::new(std::sync::Mutex::new(Self { request, version: None, moved_from: None }))
+    }
+
+    /// Writes the facts into an answer's head. The decision is kept under the request's id.
+    pub(crate) fn mark(&self, res: &mut Response) {
+        res.insert_header(REQUEST_ID, self.request.to_string());
+        res.insert_header(DECISION_ID, self.request.to_string());
+        if let Some(version) = &self.version {
+            res.insert_header(MODEL_VERSION, version.as_str());
+        }
+        if let Some(old) = &self.moved_from {
+            res.insert_header(SESSION_MOVED, format!("withdrawn {old}"));
+        }
+    }
+}
+
+/// Returns the body of an error, in the shape that chat clients read.
+pub(crate) fn error_body(failed: &Failed) -> serde_json::Value {
+    json!({
+        "error": {
+            "code": failed.kind.row().code,
+            "message": match failed.why.as_str() {
+                "" => failed.kind.to_string(),
+                why => format!("{}: {why}", failed.kind),
+            },
+            "type": if failed.kind.row().status < 500 { "invalid_request_error" } else { "server_error" },
+            "run_state": failed.run,
+            "retry_after_ms": failed.retry_after,
+        }
+    })
+}
+
+/// Makes the answer to a request that has none.
+pub(crate) fn error_answer(failed: &Failed) -> Response {
+    let status = failed.kind.row().status;
+    let mut res =
+        Response::new(StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError));
+    res.insert_header("content-type", "application/json");
+    res.insert_header(RUN_STATE, failed.run.to_string());
+    if let Some(after) = failed.retry_after {
+        res.insert_header("retry-after", after.0.div_ceil(1000).to_string());
+    }
+    res.set_body(error_body(failed).to_string());
+    res
+}
+
+/// Makes the answer to what was refused before its head was read.
+pub(crate) fn refusal_answer(refusal: Refusal) -> Response {
+    let kind = match refusal {
+        Refusal::BadRequest => ErrorKind::BadRequest,
+        Refusal::HeadTooLarge => ErrorKind::HeadTooLarge,
+        Refusal::SlowSender => ErrorKind::SlowSender,
+        Refusal::TooManyOpen => ErrorKind::TooManyOpen,
+    };
+    error_answer(&Failed::new(kind, "the request's head"))
+}
+
+pub(crate) fn json_answer(body: &serde_json::Value) -> Response {
+    let mut res = Response::new(StatusCode::Ok);
+    res.insert_header("content-type", "application/json");
+    res.set_body(body.to_string());
+    res
+}
--- /dev/null
+++ b/src/entry/decisions.rs
@@ -0,0 +1,97 @@
+//! What was decided about each request, and from what.
+
+use std::collections::{HashMap, VecDeque};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use redwingfold_core::{Millis, RequestId};
+use serde::Serialize;
+
+/// One step of a decision.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Step {
+    /// Milliseconds since the request came.
+    pub(crate) at: Millis,
+    pub(crate) what: &'static str,
+    pub(crate) detail: String,
+}
+
+/// The decisions about one request.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Decision {
+    pub(crate) request: RequestId,
+    pub(crate) customer: String,
+    pub(crate) asked_for: String,
+    pub(crate) began: Millis,
+    pub(crate) steps: Vec<Step>,
+}
+
+/// Adds the steps of one request.
+#[derive(Clone, Debug)]
+pub(crate) struct Trace(Arc<Mutex<Decision>>, Millis);
+
+impl Trace {
+    pub(crate) fn step(&self, now: Millis, what: &'static str, detail: impl Into<String>) {
+        let mut decision = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        let at = now.since(self.1);
+        decision.steps.push(Step { at, what, detail: detail.into() });
+    }
+
+    pub(crate) fn asked(&self, customer: &str, name: &str) {
+        let mut decision = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        decision.customer = customer.to_owned();
+        decision.asked_for = name.to_owned();
+    }
+
+    pub(crate) fn json(&self) -> Vec<u8> {
+        let decision = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        serde_json::to_vec(&*decision).unwrap_or_default()
+    }
+}
+
+/// The last decisions of this entry.
+#[derive(Debug)]
+pub(crate) struct Decisions {
+    max: usize,
+    kept: Mutex<Kept>,
+}
+
+#[derive(Debug, Default)]
+struct Kept {
+    by_id: HashMap<RequestId, Trace>,
+    order: VecDeque<RequestId>,
+}
+
+impl Decisions {
+    pub(crate) fn new(max: usize) -> Self {
+        Self { max, kept: Mutex::default() }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Kept> {
+        self.kept.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Begins the trace of a request; `wall` is told to people, `now` measures the steps.
+    pub(crate) fn begin(&self, request: RequestId, wall: Millis, now: Millis) -> Trace {
+        let decision = Decision {
+            request,
+            customer: String::new(),
+            asked_for: String::new(),
+            began: wall,
+            steps: Vec::new(),
+        };
+        let trace = Trace(Arc::new(Mutex::new(decision)), now);
+        let mut kept = self.lock();
+        kept.by_id.insert(request, trace.clone());
+        kept.order.push_back(request);
+        if kept.order.len() > self.max
+            && let Some(oldest) = kept.order.pop_front()
+        {
+            kept.by_id.remove(&oldest);
+        }
+        trace
+    }
+
+    pub(crate) fn get(&self, request: RequestId) -> Option<Trace> {
+        self.lock().by_id.get(&request).cloned()
+    }
+}
--- /dev/null
+++ b/src/entry/hints.rs
@@ -0,0 +1,59 @@
+//! Where prompts that begin alike went, so that they find the engine's prefix cache warm.
+
+use std::collections::HashMap;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+use redwingfold_core::{HostId, Millis, VersionName};
+
+/// Characters of the prompt's beginning that stand for it.
+const PREFIX_CHARS: usize = 64;
+
+/// Age at which a hint is worth nothing: engines evict without telling in time.
+const MAX_AGE: Millis = Millis(60_000);
+
+const MAX_HINTS: usize = 50_000;
+
+/// Where each prefix went last.
+#[derive(Debug, Default)]
+pub(crate) struct PrefixHints(Mutex<HashMap<u64, Hint>>);
+
+#[derive(Debug)]
+struct Hint {
+    host: HostId,
+    backend: String,
+    at: Millis,
+}
+
+/// Returns what stands for the beginning of a prompt.
+pub(crate) fn prefix_of(version: &VersionName, prompt: &str) -> u64 {
+    let prefix: String = prompt.chars().take(PREFIX_CHARS).collect();
+    xxhash_rust::xxh3::xxh3_64(format!("{version}\0{prefix}").as_bytes())
+}
+
+impl PrefixHints {
+    fn lock(&self) -> MutexGuard<'_, HashMap<u64, Hint>> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the share of the prompt that a backend server probably has cached.
+    pub(crate) fn cached(&self, prefix: u64, host: &HostId, backend: &str, now: Millis) -> f32 {
+        match self.lock().get(&prefix) {
+            Some(hint) if hint.host == *host && hint.backend == backend => {
+                let age = now.since(hint.at).0.min(MAX_AGE.0) as f32;
+                1.0 - age / MAX_AGE.0 as f32
+            }
+            _ => 0.0,
+        }
+    }
+
+    pub(crate) fn note(&self, prefix: u64, host: &HostId, backend: &str, now: Millis) {
+        let mut hints = self.lock();
+        if hints.len() >= MAX_HINTS {
+            hints.retain(|_, hint| now.since(hint.at) < MAX_AGE);
+        }
+        if hints.len() < MAX_HINTS {
+            let hint = Hint { host: host.clone(), backend: backend.to_owned(), at: now };
+            hints.insert(prefix, hint);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/plain.rs
@@ -0,0 +1,205 @@
+//! Plain services, by path. Some of their calls may not be repeated.
+
+use std::sync::Arc;
+
+use redwingfold_core::{
+    Candidate, Config, ErrorKind, Health, KeyHash, Millis, RequestId, RunState, ServiceSpec, Spec,
+    pick,
+};
+use redwingfold_http::{Response, StatusCode};
+
+use super::answer::Failed;
+use super::attempt::{AttemptFailed, begin};
+use super::auth::Caller;
+use super::claims::{Claimed, claim};
+use super::context::Entry;
+use super::decisions::Trace;
+use super::sides::{SideLink, usable};
+use crate::wire::{CallHead, RunCall, Usage};
+
+/// Work that a plain call stands for in the fair queue, in tokens.
+const PLAIN_WORK: u64 = 100;
+
+/// A call of a plain service on its way.
+pub(crate) struct Plain {
+    pub(crate) entry: Arc<Entry>,
+    pub(crate) caller: Caller,
+    pub(crate) request: RequestId,
+    pub(crate) method: String,
+    pub(crate) target: String,
+    pub(crate) content_type: Option<String>,
+    pub(crate) body: Vec<u8>,
+    pub(crate) trace: Trace,
+    pub(crate) deadline: Millis,
+}
+
+/// Finds the service with the longest prefix of a path.
+pub(crate) fn find_service<'a>(
+    config: &'a Config,
+    path: &str,
+) -> Option<(String, &'a ServiceSpec)> {
+    let services = config.of_kind("service").filter_map(|(key, spec)| match spec {
+        Spec::Service(s) if is_under(path, &s.path) => Some((key.name.clone(), s)),
+        _ => None,
+    });
+    services.max_by_key(|(_, s)| s.path.len())
+}
+
+fn is_under(path: &str, prefix: &str) -> bool {
+    let prefix = prefix.trim_end_matches('/');
+    path.strip_prefix(prefix).is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+}
+
+impl Plain {
+    fn step(&self, what: &'static str, detail: impl Into<String>) {
+        self.trace.step(self.entry.daemon.now(), what, detail);
+    }
+
+    /// Answers the call.
+    pub(crate) async fn answer(
+        &self,
+        service: &str,
+        spec: &ServiceSpec,
+    ) -> Result<Response, Failed> {
+        let config = self.entry.daemon.store.current();
+        let labels = config.caller_labels(&self.caller.customer, self.caller.session.as_ref());
+        match spec {
+            s if !s.methods.contains(&self.method) => {
+                let why = format!("{service} takes {}", s.methods.join(", "));
+                return Err(Failed::new(ErrorKind::WrongMethod, why));
+            }
+            s if !s.callers.matches(&labels) => return Err(ErrorKind::NotAllowed.into()),
+            _ => {}
+        }
+        if spec.repeatable.contains(&self.method) {
+            return self.run_repeatable(service).await;
+        }
+        self.run_once(service).await
+    }
+
+    /// Runs a call that may be repeated, at another backend server after a failure.
+    async fn run_repeatable(&self, service: &str) -> Result<Response, Failed> {
+        let mut tried = Vec::new();
+        loop {
+            let (link, backend) = self.pick(service, &tried).ok_or_else(|| no_backend(service))?;
+            tried.push((link.host.clone(), backend.clone()));
+            self.step("attempt", format!("{} at {}/{backend}", tried.len(), link.host));
+            let call = self.call(service, &backend, tried.len() as u32);
+            let failed = match self.run(&link, call).await {
+                Ok(res) => return Ok(res),
+                Err(e) => e.failed,
+            };
+            self.step("attempt_failed", format!("{} ({})", failed.kind, failed.run));
+            let may = (tried.len() as u32) < self.entry.settings.retry.max_attempts;
+            if !may || self.pick(service, &tried).is_none() || !self.entry.try_retry() {
+                return Err(failed);
+            }
+        }
+    }
+
+    /// Runs a call that may not be repeated: one attempt, claimed first if the caller gave a key by
+    /// which a repeat can be known.
+    async fn run_once(&self, service: &str) -> Result<Response, Failed> {
+        let (link, backend) = self.pick(service, &[]).ok_or_else(|| no_backend(service))?;
+        let mut call = self.call(service, &backend, 1);
+        if let Some(key) = &self.caller.idempotency_key {
+            let key = KeyHash::of(&self.caller.customer, &format!("{service}\0{key}"));
+            match claim(&self.entry, &link, key, self.request).await? {
+                Claimed::Ran { status, content_type, body } => {
+                    self.step("replayed", format!("status {status}"));
+                    return Ok(plain_answer(status, content_type, body));
+                }
+                Claimed::Run(claim) => {
+                    self.step("claimed", format!("{} at {}", claim.id, claim.host));
+                    call.claim = Some(claim);
+                }
+            }
+        }
+        self.step("attempt", format!("1 at {}/{backend}", link.host));
+        call.deadline = self.deadline.since(self.entry.daemon.now());
+        self.run(&link, call).await.map_err(|e| {
+            self.step("attempt_failed", format!("{} ({})", e.failed.kind, e.failed.run));
+            e.failed
+        })
+    }
+
+    async fn run(&self, link: &Arc<SideLink>, call: RunCall) -> Result<Response, AttemptFailed> {
+        let (head, mut answering) = begin(&self.entry, link, call).await?;
+        let whole = answering.whole(crate::wire::MAX_FRAME).await;
+        let (body, _) = whole.map_err(|failed| Failed {
+            // Its head has come, so that it has run at least in part.
+            run: match failed.run {
+                RunState::NotRun => RunState::MayHaveRun,
+                run => run,
+            },
+            ..failed
+        })?;
+        Ok(plain_answer(head.status, head.content_type, body))
+    }
+
+    fn call(&self, service: &str, backend: &str, attempt: u32) -> RunCall {
+        RunCall {
+            head: CallHead { request: self.request, attempt },
+            config: self.entry.daemon.store.mark(),
+            customer: self.caller.customer.clone(),
+            session: self.caller.session.clone(),
+            version: None,
+            service: Some(service.to_owned()),
+            backend: backend.to_owned(),
+            method: self.method.clone(),
+            target: self.target.clone(),
+            content_type: self.content_type.clone(),
+            body: self.body.clone(),
+            stream: false,
+            deadline: self.deadline.since(self.entry.daemon.now()),
+            priority: self.caller.priority,
+            work: PLAIN_WORK,
+            claim: None,
+            bill: None,
+            spent: Usage::default(),
+        }
+    }
+
+    fn pick(
+        &self,
+        service: &str,
+        tried: &[(redwingfold_core::HostId, String)],
+    ) -> Option<(Arc<SideLink>, String)> {
+        let now = self.entry.daemon.now();
+        let mut candidates = Vec::new();
+        for link in usable(&self.entry) {
+            let healthy = link.link.health(now) == Health::Live;
+            for told in link.backends() {
+                let name = told.load.backend.clone();
+                let serves = told.load.service.as_deref() == Some(service) && told.load.up;
+                if !serves || tried.contains(&(link.host.clone(), name.clone())) {
+                    continue;
+                }
+                candidates.push(Candidate {
+                    id: (link.clone(), name),
+                    reported: told.load.busy,
+                    sent_since: told.sent_since,
+                    slots: told.load.slots,
+                    first_token: told.load.first_token,
+                    cached: 0.0,
+                    healthy,
+                });
+            }
+        }
+        pick(&candidates, |n| fastrand::usize(0..n)).map(|c| c.id.clone())
+    }
+}
+
+fn no_backend(service: &str) -> Failed {
+    Failed::new(ErrorKind::NoBackend, format!("none serves {service}"))
+}
+
+fn plain_answer(status: u16, content_type: Option<String>, body: Vec<u8>) -> Response {
+    let status = StatusCode::try_from(status).unwrap_or(StatusCode::BadGateway);
+    let mut res = Response::new(status);
+    res.set_body(body);
+    if let Some(content_type) = content_type {
+        res.insert_header("content-type", content_type);
+    }
+    res
+}
--- /dev/null
+++ b/src/entry/sides.rs
@@ -0,0 +1,321 @@
+//! Connections to the sides.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use quinn::{Connection, Endpoint};
+use redwingfold_core::{Bill, Health, KeyHash, PinKey};
+use redwingfold_core::{HostId, Incarnation, Member, Millis, pin_holders, rank, subset};
+use smol::Timer;
+
+use super::context::Entry;
+use crate::billing::Held;
+use crate::clock::{jittered, span};
+use crate::daemon::Daemon;
+use crate::peer::{Connected, Link, LinkEvents, connect, dial, run_control};
+use crate::platform::{HostRecord, HostState};
+use crate::wire::Load;
+
+const FIRST_BACKOFF: Millis = Millis(100);
+
+/// Seed of the ranking that gives all entries the same keepers.
+const KEEPER_SEED: &str = "keepers";
+
+/// A backend server as its side last told of it.
+#[derive(Clone, Debug)]
+pub(crate) struct Told {
+    pub(crate) load: Load,
+    /// Requests that this entry has sent since.
+    pub(crate) sent_since: u32,
+}
+
+/// One connection to a side.
+#[derive(Debug)]
+pub(crate) struct SideLink {
+    pub(crate) host: HostId,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) conn: Connection,
+    pub(crate) link: Arc<Link>,
+    leaving: AtomicBool,
+    retired: AtomicBool,
+    told: Mutex<BTreeMap<String, Told>>,
+    _endpoint: Endpoint,
+}
+
+impl SideLink {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Told>> {
+        self.told.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes newer loads.
+    pub(crate) fn note_loads(&self, loads: Vec<Load>) {
+        let mut told = self.lock();
+        for load in loads {
+            told.insert(load.backend.clone(), Told { load, sent_since: 0 });
+        }
+    }
+
+    /// Notes that a request was sent to a backend server.
+    pub(crate) fn note_sent(&self, backend: &str) {
+        if let Some(told) = self.lock().get_mut(backend) {
+            told.sent_since += 1;
+        }
+    }
+
+    pub(crate) fn backends(&self) -> Vec<Told> {
+        self.lock().values().cloned().collect()
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Relaxed)
+    }
+
+    /// Waits until nothing can be hoped for from this connection.
+    pub(crate) async fn dead(&self, daemon: &Daemon) {
+        self.link.until(daemon, |health| health == Health::Dead).await;
+    }
+
+    /// Waits until the connection is dead, or another has taken its place while it was silent.
+    pub(crate) async fn given_up(&self, daemon: &Daemon) {
+        let retired = || self.retired.load(Ordering::Relaxed);
+        self.link.until(daemon, |health| health == Health::Dead || retired()).await;
+    }
+}
+
+/// The connections to sides.
+#[derive(Debug, Default)]
+pub(crate) struct Sides {
+    links: Mutex<BTreeMap<HostId, Arc<SideLink>>>,
+    keepers: Mutex<Arc<Vec<Member>>>,
+}
+
+impl Sides {
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<HostId, Arc<SideLink>>> {
+        self.links.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn all(&self) -> Vec<Arc<SideLink>> {
+        self.lock().values().cloned().collect()
+    }
+
+    pub(crate) fn get(&self, host: &HostId) -> Option<Arc<SideLink>> {
+        self.lock().get(host).cloned()
+    }
+
+    fn put(&self, link: &Arc<SideLink>) {
+        self.lock().insert(link.host.clone(), link.clone());
+    }
+
+    /// Takes a link out, unless another has taken its place.
+    fn remove(&self, link: &Arc<SideLink>) {
+        let mut links = self.lock();
+        if links.get(&link.host).is_some_and(|held| Arc::ptr_eq(held, link)) {
+            links.remove(&link.host);
+        }
+    }
+
+    /// Returns the sides that hold sessions, the same for all entries that know the same hosts.
+    pub(crate) fn keepers(&self) -> Arc<Vec<Member>> {
+        self.keepers.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the holders of a session's pin, the first to be asked first.
+    pub(crate) fn holders(&self, key: &PinKey, copies: usize) -> Vec<Option<Arc<SideLink>>> {
+        let keepers = self.keepers();
+        pin_holders(key, &keepers, copies).into_iter().map(|m| self.get(&m.host)).collect()
+    }
+}
+
+/// Says whether a host may be given new work, going by the host list.
+fn is_live(hosts: &[HostRecord], host: &HostId) -> bool {
+    hosts.iter().any(|h| h.host == *host && h.state == HostState::Live)
+}
+
+/// Returns the connections to which new work may go.
+///
+/// A side says itself when it is leaving, at once; the host list, some time later, covers one that
+/// could not say so.
+pub(crate) fn usable(entry: &Entry) -> Vec<Arc<SideLink>> {
+    let hosts = entry.daemon.hosts.current();
+    let mut links = entry.sides.all();
+    links.retain(|l| !l.is_leaving() && is_live(&hosts, &l.host));
+    links
+}
+
+/// A connection for a few calls; one that was opened for them ends with this.
+pub(crate) struct Reached {
+    pub(crate) conn: Connection,
+    _endpoint: Option<Endpoint>,
+}
+
+/// Returns a connection to a side, be it among this entry's sides or not.
+pub(crate) async fn reach(entry: &Entry, host: &HostId) -> Option<Reached> {
+    if let Some(link) = entry.sides.get(host) {
+        return Some(Reached { conn: link.conn.clone(), _endpoint: None });
+    }
+    let hosts = entry.daemon.hosts.current();
+    let record = hosts.iter().find(|h| h.host == *host && h.is_side())?;
+    let timeout = entry.settings.peers.connect_timeout_ms;
+    let (endpoint, conn) = dial(&entry.client, record.address, timeout).await.ok()?;
+    Some(Reached { conn, _endpoint: Some(endpoint) })
+}
+
+/// Keeps connections to this entry's sides, for ever.
+pub(crate) async fn keep_connected(entry: Arc<Entry>) {
+    let mut connecting: BTreeMap<HostId, (HostRecord, smol::Task<()>)> = BTreeMap::new();
+    loop {
+        let changed = entry.daemon.hosts.changed();
+        let hosts = entry.daemon.hosts.current();
+        let wanted = wanted_sides(&entry, &hosts);
+        // A side that leaves stays connected until it closes: its streams under way go on.
+        connecting.retain(|host, (record, _)| {
+            hosts.iter().any(|h| h.host == *host && h.address == record.address)
+                && (wanted.contains(host) || !is_live(&hosts, host))
+        });
+        for record in hosts.iter().filter(|h| wanted.contains(&h.host)) {
+            connecting.entry(record.host.clone()).or_insert_with(|| {
+                let task = smol::spawn(stay_connected(entry.clone(), record.clone()));
+                (record.clone(), task)
+            });
+        }
+        changed.recv().await.ok();
+    }
+}
+
+fn wanted_sides(entry: &Entry, hosts: &[HostRecord]) -> BTreeSet<HostId> {
+    let peers = &entry.settings.peers;
+    let live = hosts.iter().filter(|h| h.is_side() && h.state == HostState::Live);
+    let members: Vec<_> = live.map(HostRecord::member).collect();
+    let keepers: Vec<_> =
+        rank(KEEPER_SEED, &members).into_iter().take(peers.keepers).cloned().collect();
+    let own = subset(&entry.daemon.host, &members, peers.max_sides);
+    let wanted = own.into_iter().chain(&keepers).map(|m| m.host.clone()).collect();
+    *entry.sides.keepers.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(keepers);
+    wanted
+}
+
+/// Connects to a side again and again, each time after a longer pause, with jitter: sixty that
+/// begin at once must not come back in step.
+async fn stay_connected(entry: Arc<Entry>, record: HostRecord) {
+    let mut backoff = FIRST_BACKOFF;
+    let mut next: Option<Connected> = None;
+    loop {
+        let connected = match next.take() {
+            Some(connected) => Ok(connected),
+            None => open(&entry, &record).await,
+        };
+        match connected {
+            Ok(connected) => {
+                backoff = FIRST_BACKOFF;
+                next = hold(&entry, &record, connected).await;
+            }
+            Err(why) => {
+                entry.daemon.telemetry.count("side.connect_failed", 1);
+                entry
+                    .daemon
+                    .telemetry
+                    .info("side_unreachable", &[("host", &record.host), ("why", &why)]);
+            }
+        }
+        if next.is_none() {
+            Timer::after(jittered(backoff)).await;
+            backoff = Millis((backoff.0 * 2).min(entry.settings.peers.max_backoff_ms.0));
+        }
+    }
+}
+
+async fn open(entry: &Entry, record: &HostRecord) -> Result<Connected, String> {
+    let timeout = entry.settings.peers.connect_timeout_ms;
+    let hello = entry.daemon.hello();
+    let connected =
+        connect(&entry.client, record.address, timeout, hello).await.map_err(|e| e.to_string())?;
+    match connected.hello.host == record.host {
+        true => Ok(connected),
+        // The address went to another host, and the list is behind.
+        false => Err(format!("answers as {}", connected.hello.host)),
+    }
+}
+
+/// Holds a connection until it ends; returns the one that takes its place, if there is one.
+async fn hold(entry: &Arc<Entry>, record: &HostRecord, connected: Connected) -> Option<Connected> {
+    let link = Arc::new(SideLink {
+        host: record.host.clone(),
+        incarnation: connected.hello.incarnation,
+        conn: connected.conn,
+        link: Arc::new(Link::new(&entry.daemon, true)),
+        leaving: AtomicBool::new(false),
+        retired: AtomicBool::new(false),
+        told: Mutex::default(),
+        _endpoint: connected.endpoint,
+    });
+    entry.sides.put(&link);
+    entry
+        .daemon
+        .telemetry
+        .info("side_connected", &[("host", &link.host), ("incarnation", &link.incarnation)]);
+    let events = LinkEvents {
+        on_beat: &|leaving, loads| {
+            if leaving && !link.leaving.swap(true, Ordering::Relaxed) {
+                entry.daemon.telemetry.info("side_leaving", &[("host", &link.host)]);
+            }
+            link.note_loads(loads);
+        },
+        on_confirmed: &|ids| entry.bills.forget(&ids),
+        on_hold: &|bills| take_over(entry, bills),
+        on_held: &|_| {},
+        is_leaving: &|| entry.drain.is_draining(),
+        loads: &Vec::new,
+    };
+    let peer = link.host.to_string();
+    let run = async {
+        let ended =
+            run_control(&entry.daemon, &link.link, &peer, connected.tx, connected.rx, &events);
+        let why = ended.await;
+        entry.daemon.telemetry.info("side_gone", &[("host", &link.host), ("why", &why)]);
+        None
+    };
+    let next = smol::future::or(run, watch(entry, record, &link)).await;
+    entry.sides.remove(&link);
+    next
+}
+
+/// Waits until the connection is silent, and opens another beside it.
+///
+/// The peer may be well and only this connection dead: a new one tells the two apart sooner than
+/// any waiting. If the old one speaks again first, it stays.
+async fn watch(entry: &Entry, record: &HostRecord, link: &SideLink) -> Option<Connected> {
+    let daemon = &entry.daemon;
+    loop {
+        link.link.until(daemon, |health| health != Health::Live).await;
+        daemon.telemetry.count("side.suspected", 1);
+        daemon.telemetry.info("side_suspected", &[("host", &link.host)]);
+        let spare = open(entry, record).await;
+        match (spare, link.link.health(daemon.now())) {
+            (_, Health::Live) => {
+                daemon.telemetry.count("side.false_suspicion", 1);
+                daemon.telemetry.info("side_back", &[("host", &link.host)]);
+            }
+            (Ok(spare), _) => {
+                link.retired.store(true, Ordering::Relaxed);
+                daemon.telemetry.info("side_replaced", &[("host", &link.host)]);
+                return Some(spare);
+            }
+            (Err(_), Health::Dead) => return None,
+            (Err(_), Health::Suspect) => {
+                Timer::after(span(Millis(daemon.heartbeat.interval_ms.0 / 2))).await;
+            }
+        }
+    }
+}
+
+fn take_over(entry: &Entry, bills: Vec<Bill>) -> Vec<KeyHash> {
+    let mut held = Vec::new();
+    for bill in bills {
+        let id = bill.id;
+        if entry.bills.hold(Held { bill, side: None }, Millis(0)).is_ok() {
+            held.push(id);
+        }
+    }
+    held
+}
--- /dev/null
+++ b/src/peer/connect.rs
@@ -0,0 +1,88 @@
+//! Opening connections.
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use quinn::{ClientConfig, Connection, Endpoint};
+use redwingfold_core::Millis;
+
+use crate::clock::within;
+use crate::tls::FLEET_NAME;
+use crate::wire::{Call, Control, FrameReader, FrameWriter, Hello, PROTOCOL, Reply, WireError};
+
+/// A connection with its control stream.
+pub(crate) struct Connected {
+    pub(crate) conn: Connection,
+    pub(crate) hello: Hello,
+    pub(crate) tx: FrameWriter<Control>,
+    pub(crate) rx: FrameReader<Control>,
+    /// Keeps the socket; it must live as long as the connection.
+    pub(crate) endpoint: Endpoint,
+}
+
+/// Opens a connection from a port of its own.
+///
+/// When something on the way has lost track of a connection, it drops what belongs to its pair of
+/// ports: the peer looks dead although it is not. A new connection from the same port would be
+/// dropped like the old one, so each gets a new port.
+pub(crate) async fn dial(
+    config: &ClientConfig,
+    addr: SocketAddr,
+    timeout: Millis,
+) -> Result<(Endpoint, Connection), WireError> {
+    let lost = |e: String| WireError::Lost(format!("{addr}: {e}"));
+    let endpoint =
+        Endpoint::client((Ipv4Addr::UNSPECIFIED, 0).into()).map_err(|e| lost(e.to_string()))?;
+    let connecting =
+        endpoint.connect_with(config.clone(), addr, FLEET_NAME).map_err(|e| lost(e.to_string()))?;
+    match within(timeout, connecting).await {
+        Some(Ok(conn)) => Ok((endpoint, conn)),
+        Some(Err(e)) => Err(lost(e.to_string())),
+        None => Err(lost("connect timeout".to_owned())),
+    }
+}
+
+/// Opens a connection and its control stream.
+pub(crate) async fn connect(
+    config: &ClientConfig,
+    addr: SocketAddr,
+    timeout: Millis,
+    own: Hello,
+) -> Result<Connected, WireError> {
+    let (endpoint, conn) = dial(config, addr, timeout).await?;
+    let greet = async {
+        let lost = |e: quinn::ConnectionError| WireError::Lost(e.to_string());
+        let (send, recv) = conn.open_bi().await.map_err(lost)?;
+        let mut tx = FrameWriter::<Call>::new(send);
+        tx.send(&Call::Control(own)).await?;
+        let mut rx = FrameReader::<Control>::new(recv);
+        match rx.next().await? {
+            Some(Control::Hello(hello)) if hello.protocol == PROTOCOL => Ok((tx.into(), rx, hello)),
+            Some(Control::Hello(hello)) => {
+                Err(WireError::Torn(format!("protocol {}, not {PROTOCOL}", hello.protocol)))
+            }
+            other => Err(WireError::Torn(format!("no hello: {other:?}"))),
+        }
+    };
+    let late = || Err(WireError::Lost(format!("{addr}: no hello in time")));
+    let (tx, rx, hello) = within(timeout, greet).await.unwrap_or_else(late)?;
+    Ok(Connected { conn, hello, tx, rx, endpoint })
+}
+
+/// Makes one call that is answered by one reply.
+pub(crate) async fn call(
+    conn: &Connection,
+    call: &Call,
+    timeout: Millis,
+) -> Result<Reply, WireError> {
+    let exchange = async {
+        let lost = |e: quinn::ConnectionError| WireError::Lost(e.to_string());
+        let (send, recv) = conn.open_bi().await.map_err(lost)?;
+        let mut tx = FrameWriter::new(send);
+        tx.send(call).await?;
+        tx.finish();
+        let reply = FrameReader::new(recv).next().await?;
+        reply.ok_or_else(|| WireError::Torn("no reply".to_owned()))
+    };
+    let late = || Err(WireError::Lost("no reply in time".to_owned()));
+    within(timeout, exchange).await.unwrap_or_else(late)
+}
--- /dev/null
+++ b/src/peer/control.rs
@@ -0,0 +1,173 @@
+//! The control stream of a connection: heartbeats, loads, the configuration, confirmed bills.
+
+use std::sync::{Mutex, PoisonError};
+
+use redwingfold_core::{Bill, Detector, Health, KeyHash, Millis, Offset};
+use smol::Timer;
+use smol::channel::{Receiver, Sender, unbounded};
+
+use crate::clock::span;
+use crate::config_store::Catchup;
+use crate::daemon::Daemon;
+use crate::wire::{Beat, Control, FrameReader, FrameWriter, Load, WireError};
+
+/// How often the detector is looked at, as a part of the heartbeat interval.
+const CHECKS_PER_INTERVAL: u64 = 5;
+
+/// What both tasks of a control stream, and the calls beside it, know of the connection.
+#[derive(Debug)]
+pub(crate) struct Link {
+    detector: Mutex<Detector>,
+    out_tx: Sender<Control>,
+    out_rx: Receiver<Control>,
+    asks: bool,
+}
+
+impl Link {
+    /// Makes a link; `asks` says whether this end sends heartbeats of its own.
+    pub(crate) fn new(daemon: &Daemon, asks: bool) -> Self {
+        let (out_tx, out_rx) = unbounded();
+        let detector = Detector::new(daemon.heartbeat.policy(), daemon.now());
+        Self { detector: Mutex::new(detector), out_tx, out_rx, asks }
+    }
+
+    fn with<T>(&self, f: impl FnOnce(&mut Detector) -> T) -> T {
+        f(&mut self.detector.lock().unwrap_or_else(PoisonError::into_inner))
+    }
+
+    /// Notes that something arrived on the connection.
+    pub(crate) fn heard(&self, now: Millis) {
+        self.with(|d| d.heard(now));
+    }
+
+    pub(crate) fn health(&self, now: Millis) -> Health {
+        self.with(|d| d.health(now))
+    }
+
+    /// Queues a message; it is dropped if the connection is gone.
+    pub(crate) fn send(&self, message: Control) {
+        self.out_tx.try_send(message).ok();
+    }
+
+    /// Waits until the peer's health is one that `wanted` accepts.
+    pub(crate) async fn until(&self, daemon: &Daemon, wanted: impl Fn(Health) -> bool) {
+        while !wanted(self.health(daemon.now())) {
+            Timer::after(span(self.check_every(daemon))).await;
+        }
+    }
+
+    fn check_every(&self, daemon: &Daemon) -> Millis {
+        Millis((daemon.heartbeat.interval_ms.0 / CHECKS_PER_INTERVAL).max(1))
+    }
+}
+
+/// What the owner of a link does with what arrives, and says of itself.
+pub(crate) struct LinkEvents<'a> {
+    pub(crate) on_beat: &'a (dyn Fn(bool, Vec<Load>) + Send + Sync),
+    pub(crate) on_confirmed: &'a (dyn Fn(Vec<KeyHash>) + Send + Sync),
+    pub(crate) on_hold: &'a (dyn Fn(Vec<Bill>) -> Vec<KeyHash> + Send + Sync),
+    pub(crate) on_held: &'a (dyn Fn(Vec<KeyHash>) + Send + Sync),
+    pub(crate) is_leaving: &'a (dyn Fn() -> bool + Send + Sync),
+    /// Loads that changed since they were last told on this link.
+    pub(crate) loads: &'a (dyn Fn() -> Vec<Load> + Send + Sync),
+}
+
+/// Runs a control stream until it or the connection ends.
+pub(crate) async fn run_control(
+    daemon: &Daemon,
+    link: &Link,
+    peer: &str,
+    mut tx: FrameWriter<Control>,
+    mut rx: FrameReader<Control>,
+    events: &LinkEvents<'_>,
+) -> WireError {
+    link.send(beat(daemon, events, link.asks));
+    let read = async {
+        loop {
+            match rx.next().await {
+                Ok(Some(message)) => {
+                    link.heard(daemon.now());
+                    receive(daemon, link, peer, message, events);
+                }
+                Ok(None) => return WireError::Lost("control stream ended".to_owned()),
+                Err(e) => return e,
+            }
+        }
+    };
+    let write = async {
+        loop {
+            let Ok(message) = link.out_rx.recv().await else {
+                return WireError::Lost("link dropped".to_owned());
+            };
+            match tx.send(&message).await {
+                Ok(bytes) => daemon.telemetry.count("control.bytes_out", bytes as i64),
+                Err(e) => return e,
+            }
+        }
+    };
+    let ask = async {
+        loop {
+            Timer::after(span(link.check_every(daemon))).await;
+            let now = daemon.now();
+            if link.asks && link.with(|d| d.should_ask(now)) {
+                link.with(|d| d.asked(now));
+                link.send(beat(daemon, events, true));
+            }
+        }
+    };
+    let tell = async {
+        loop {
+            daemon.store.changed().recv().await.ok();
+            link.send(beat(daemon, events, false));
+        }
+    };
+    smol::future::or(smol::future::or(read, write), smol::future::or(ask, tell)).await
+}
+
+fn beat(daemon: &Daemon, events: &LinkEvents<'_>, ask: bool) -> Control {
+    Control::Beat(Beat {
+        config: daemon.store.mark(),
+        leaving: (events.is_leaving)(),
+        loads: (events.loads)(),
+        ask,
+    })
+}
+
+fn receive(daemon: &Daemon, link: &Link, peer: &str, message: Control, events: &LinkEvents<'_>) {
+    match message {
+        Control::Beat(theirs) => {
+            daemon.store.check_peer(peer, theirs.config);
+            let ours = daemon.store.mark();
+            if theirs.config.offset > ours.offset {
+                link.send(Control::Want(ours.offset));
+            }
+            if theirs.ask {
+                link.send(beat(daemon, events, false));
+            }
+            (events.on_beat)(theirs.leaving, theirs.loads);
+        }
+        Control::Confirmed(ids) => (events.on_confirmed)(ids),
+        Control::Held(ids) => (events.on_held)(ids),
+        Control::Hello(_) => {}
+        Control::Hold(bills) => link.send(Control::Held((events.on_hold)(bills))),
+        Control::Records(records) => {
+            let lacks =
+                records.first().is_some_and(|(o, _)| o.0 > daemon.store.mark().offset.0 + 1);
+            daemon.store.apply(&records);
+            if lacks {
+                link.send(Control::Want(Offset(0)));
+            }
+        }
+        Control::Snapshot(json) => match serde_json::from_slice(&json) {
+            Ok(snapshot) => {
+                daemon.store.install(snapshot);
+            }
+            Err(e) => daemon.telemetry.warn("bad_snapshot", &[("peer", &peer), ("why", &e)]),
+        },
+        Control::Want(offset) => match daemon.store.after(offset) {
+            Catchup::Nothing => {}
+            Catchup::Records(records) => link.send(Control::Records(records)),
+            Catchup::Snapshot(json) => link.send(Control::Snapshot(json)),
+        },
+    }
+}
--- /dev/null
+++ b/src/peer/mod.rs
@@ -0,0 +1,9 @@
+//! Connections between the system's processes.
+
+mod connect;
+mod control;
+mod serve;
+
+pub(crate) use connect::{Connected, call, connect, dial};
+pub(crate) use control::{Link, LinkEvents, run_control};
+pub(crate) use serve::{bind, serve};
--- /dev/null
+++ b/src/platform/hosts.rs
@@ -0,0 +1,57 @@
+//! Adapter of the host list.
+
+use std::net::SocketAddr;
+
+use redwingfold_core::{FailureDomain, HostId, Member, Millis};
+use redwingfold_http::{Client, Method};
+use serde::Deserialize;
+
+use crate::clock::span;
+
+const TIMEOUT: Millis = Millis(2_000);
+const MAX_BYTES: usize = 4 * 1024 * 1024;
+
+/// What the platform says of a host.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum HostState {
+    Leaving,
+    Live,
+}
+
+/// One host of the list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub(crate) struct HostRecord {
+    pub(crate) host: HostId,
+    pub(crate) address: SocketAddr,
+    pub(crate) failure_domain: FailureDomain,
+    pub(crate) role: String,
+    pub(crate) state: HostState,
+}
+
+impl HostRecord {
+    pub(crate) fn is_side(&self) -> bool {
+        self.role == "side"
+    }
+
+    pub(crate) fn member(&self) -> Member {
+        Member { host: self.host.clone(), domain: self.failure_domain.clone() }
+    }
+}
+
+#[derive(Deserialize)]
+struct HostsAnswer {
+    hosts: Vec<HostRecord>,
+}
+
+/// Reads the host list.
+pub(crate) async fn read_hosts(http: &Client, addr: SocketAddr) -> Result<Vec<HostRecord>, String> {
+    let call = http.call(Method::Get, addr, "/hosts", None, span(TIMEOUT), MAX_BYTES);
+    match call.await {
+        Ok(answer) if answer.is_success() => {
+            answer.json::<HostsAnswer>().map(|a| a.hosts).map_err(|e| e.to_string())
+        }
+        Ok(answer) => Err(format!("status {}", answer.status)),
+        Err(e) => Err(e.to_string()),
+    }
+}
--- /dev/null
+++ b/src/platform/log.rs
@@ -0,0 +1,143 @@
+//! Adapter of the log service.
+
+use std::fmt;
+use std::net::SocketAddr;
+
+use redwingfold_core::{Millis, Offset};
+use redwingfold_http::{CallError, Client, Method};
+use serde::Deserialize;
+
+use crate::clock::span;
+use crate::settings::LogSettings;
+
+/// Names of the streams.
+pub(crate) mod stream {
+    /// Billing records, in batches.
+    pub(crate) const BILLS: &str = "bills";
+    /// Changes of the configuration.
+    pub(crate) const CONFIG: &str = "config";
+    /// Snapshots of the configuration.
+    pub(crate) const SNAPSHOTS: &str = "config-snapshots";
+    /// Prefix of the partitions of claims.
+    pub(crate) const CLAIMS: &str = "claims-";
+}
+
+const MAX_PAGE_BYTES: usize = 32 * 1024 * 1024;
+
+/// Why the log service did not do as asked.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum LogError {
+    /// The service says no: it is away or over its rate. Nothing took effect.
+    Refused { why: String, retry_after: Millis },
+    /// No answer, or an unclear one. An append may have taken effect, or may yet.
+    Unknown(String),
+}
+
+impl fmt::Display for LogError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Refused { why, .. } => write!(f, "the log service refuses: {why}"),
+            Self::Unknown(why) => write!(f, "no clear answer from the log service: {why}"),
+        }
+    }
+}
+
+/// A part of a stream.
+#[derive(Clone, Debug)]
+pub(crate) struct LogPage {
+    /// Oldest offset that is retained.
+    pub(crate) first: Offset,
+    /// Offset of the next append, as of this read.
+    pub(crate) next: Offset,
+    pub(crate) records: Vec<(Offset, Vec<u8>)>,
+}
+
+#[derive(Deserialize)]
+struct AppendAnswer {
+    offset: Offset,
+}
+
+#[derive(Deserialize)]
+struct PageAnswer {
+    first: Offset,
+    next: Offset,
+    records: Vec<RecordAnswer>,
+}
+
+#[derive(Deserialize)]
+struct RecordAnswer {
+    offset: Offset,
+    data: String,
+}
+
+impl From<PageAnswer> for LogPage {
+    fn from(page: PageAnswer) -> Self {
+        let records = page.records.into_iter().map(|r| (r.offset, r.data.into_bytes()));
+        Self { first: page.first, next: page.next, records: records.collect() }
+    }
+}
+
+/// A client of the log service.
+#[derive(Clone, Debug)]
+pub(crate) struct LogClient {
+    addr: SocketAddr,
+    timeout: Millis,
+    http: Client,
+}
+
+const DEFAULT_RETRY_AFTER: Millis = Millis(1_000);
+const STATUS_TOO_MANY: u16 = 429;
+const STATUS_UNAVAILABLE: u16 = 503;
+
+impl LogClient {
+    pub(crate) fn new(settings: &LogSettings) -> Self {
+        Self { addr: settings.address, timeout: settings.timeout_ms, http: Client::default() }
+    }
+
+    /// Appends a record once. It is never repeated here: whoever asks must first look whether an
+    /// append without a clear answer took effect.
+    pub(crate) async fn append(&self, stream: &str, record: Vec<u8>) -> Result<Offset, LogError> {
+        let target = format!("/streams/{stream}/append");
+        let answer = self.call(Method::Post, &target, Some(record), self.timeout).await?;
+        answer
+            .json::<AppendAnswer>()
+            .map(|a| a.offset)
+            .map_err(|e| LogError::Unknown(e.to_string()))
+    }
+
+    /// Reads records from an offset on; waits up to `wait` for the first.
+    pub(crate) async fn read(
+        &self,
+        stream: &str,
+        from: Offset,
+        max: usize,
+        wait: Millis,
+    ) -> Result<LogPage, LogError> {
+        let target = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait}");
+        let timeout = self.timeout.after(wait);
+        let answer = self.call(Method::Get, &target, None, timeout).await?;
+        let page = answer.json::<PageAnswer>();
+        page.map(LogPage::from).map_err(|e| LogError::Unknown(e.to_string()))
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        target: &str,
+        body: Option<Vec<u8>>,
+        timeout: Millis,
+    ) -> Result<redwingfold_http::Answer, LogError> {
+        let call = self.http.call(method, self.addr, target, body, span(timeout), MAX_PAGE_BYTES);
+        let refused = |why: String, retry_after| Err(LogError::Refused { why, retry_after });
+        match call.await {
+            Ok(answer) if answer.is_success() => Ok(answer),
+            Ok(answer) if matches!(answer.status, STATUS_TOO_MANY | STATUS_UNAVAILABLE) => {
+                let after = answer.retry_after.map_or(DEFAULT_RETRY_AFTER, |s| Millis(s * 1000));
+                refused(format!("status {}", answer.status), after)
+            }
+            Ok(answer) => Err(LogError::Unknown(format!("status {}", answer.status))),
+            Err(CallError::Unreachable(why)) => refused(why, DEFAULT_RETRY_AFTER),
+            Err(e) => Err(LogError::Unknown(e.to_string())),
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/rating.rs
@@ -0,0 +1,36 @@
+//! Adapter of the rating service.
+
+use std::net::SocketAddr;
+
+use redwingfold_core::{Millis, PerMille, VersionName};
+use redwingfold_http::{Client, Method};
+use serde::{Deserialize, Serialize};
+
+use crate::clock::span;
+
+const MAX_BYTES: usize = 64 * 1024;
+
+#[derive(Serialize)]
+struct RateRequest<'a> {
+    version: &'a VersionName,
+    answer: &'a str,
+}
+
+#[derive(Deserialize)]
+struct RateAnswer {
+    score: PerMille,
+}
+
+/// Has an answer rated; `None` if no rating is to be had in time.
+pub(crate) async fn rate(
+    http: &Client,
+    addr: SocketAddr,
+    version: &VersionName,
+    answer: &str,
+    timeout: Millis,
+) -> Option<PerMille> {
+    let body = serde_json::to_vec(&RateRequest { version, answer }).ok()?;
+    let call = http.call(Method::Post, addr, "/v1/rate", Some(body), span(timeout), MAX_BYTES);
+    let answer = call.await.ok().filter(redwingfold_http::Answer::is_success)?;
+    answer.json::<RateAnswer>().ok().map(|a| a.score)
+}
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,16 @@
+//! Settings: read from JSON, with a clear word on every key that is wrong.
+
+mod common;
+mod ctl;
+mod entry;
+mod parse;
+mod side;
+
+pub use common::{
+    BatchSettings, HeartbeatSettings, HostListSettings, LogSettings, MetricsSettings, PeerSettings,
+    TlsSettings,
+};
+pub use ctl::CtlSettings;
+pub use entry::{EntrySettings, LimitSettings, RatingSettings, RetrySettings, SessionSettings};
+pub use parse::{SettingsError, parse, read};
+pub use side::{BackendKind, BackendSettings, QueueSettings, SideSettings};
--- /dev/null
+++ b/src/side/context.rs
@@ -0,0 +1,110 @@
+//! What the parts of a side share.
+
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, PoisonError, Weak};
+
+use redwingfold_core::{ByteBudget, CallTable, ErrorKind, PinTable};
+
+use super::backend::Backend;
+use crate::billing::BillBox;
+use crate::daemon::Daemon;
+use crate::peer::Link;
+use crate::settings::SideSettings;
+
+/// Memory for the answers of calls that may not be repeated.
+const MAX_CALL_BODIES: usize = 64 * 1024 * 1024;
+
+/// What the parts of a side share.
+#[derive(Debug)]
+pub(crate) struct Side {
+    pub(crate) daemon: Daemon,
+    pub(crate) settings: SideSettings,
+    pub(crate) backends: BTreeMap<String, Arc<Backend>>,
+    pub(crate) pins: Mutex<PinTable>,
+    pub(crate) calls: Mutex<CallTable>,
+    pub(crate) bills: BillBox,
+    pub(crate) report_budget: Mutex<ByteBudget>,
+    leaving: AtomicBool,
+    running: AtomicUsize,
+    links: Mutex<Vec<Weak<Link>>>,
+}
+
+/// Counts a run until it is dropped.
+pub(crate) struct Running<'a>(&'a AtomicUsize);
+
+impl Drop for Running<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::SeqCst);
+    }
+}
+
+impl Side {
+    pub(crate) fn new(daemon: Daemon, settings: SideSettings) -> Self {
+        let backends = settings.backends.iter();
+        let limits = &settings.queue;
+        Self {
+            backends: backends
+                .map(|b| (b.name.clone(), Arc::new(Backend::new(b.clone(), limits, daemon.clock))))
+                .collect(),
+            pins: Mutex::new(PinTable::new(settings.max_pins)),
+            calls: Mutex::new(CallTable::new(
+                daemon.incarnation,
+                limits.max_remembered_calls,
+                MAX_CALL_BODIES,
+            )),
+            bills: BillBox::new(settings.batch.clone()),
+            report_budget: Mutex::new(ByteBudget::new(
+                settings.heartbeat.report_bytes_per_second,
+                daemon.now(),
+            )),
+            leaving: AtomicBool::new(false),
+            running: AtomicUsize::new(0),
+            links: Mutex::default(),
+            daemon,
+            settings,
+        }
+    }
+
+    pub(crate) fn pins(&self) -> std::sync::MutexGuard<'_, PinTable> {
+        self.pins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn calls(&self) -> std::sync::MutexGuard<'_, CallTable> {
+        self.calls.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(crate) fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::SeqCst)
+    }
+
+    /// Counts a run, unless the process is leaving.
+    ///
+    /// The count goes up before the flag is read, and a stop sets the flag before it reads the
+    /// count: whichever comes first, a run is either refused or waited for.
+    pub(crate) fn begin_run(&self) -> Result<Running<'_>, ErrorKind> {
+        self.running.fetch_add(1, Ordering::SeqCst);
+        let running = Running(&self.running);
+        if self.is_leaving() { Err(ErrorKind::Stopping) } else { Ok(running) }
+    }
+
+    pub(crate) fn running(&self) -> usize {
+        self.running.load(Ordering::SeqCst)
+    }
+
+    pub(crate) fn add_link(&self, link: &Arc<Link>) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|l| l.strong_count() > 0);
+        links.push(Arc::downgrade(link));
+    }
+
+    pub(crate) fn links(&self) -> Vec<Arc<Link>> {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.iter().filter_map(Weak::upgrade).collect()
+    }
+
+    /// Refuses new work from now on.
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::SeqCst);
+    }
+}
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,10 @@
+//! Messages between the system's processes, and how they are framed.
+
+mod frame;
+mod message;
+
+pub(crate) use frame::{FrameReader, FrameWriter, MAX_FRAME, WireError};
+pub(crate) use message::{
+    Beat, Call, CallHead, Closed, ConfigMark, Control, Hello, Load, Outcome, PROTOCOL, Reply, Role,
+    RunCall, RunEnd, RunFailed, RunFrame, RunHead, Usage, new_claim_id,
+};
--- /dev/null
+++ b/standins/src/bin/redwingfold-standins.rs
@@ -0,0 +1,90 @@
+//! Runs one stand-in until it is killed; prints its address.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::{Parser, Subcommand};
+use redwingfold_standins::{
+    Engine, EngineSettings, HostList, LogService, Rating, Service, WeightStore,
+};
+
+#[derive(Debug, Parser)]
+#[command(about = "Stand-ins of the platform's services, for tests and trials")]
+struct Args {
+    /// Address to listen on; port 0 takes a free one.
+    #[arg(long, global = true, default_value = "127.0.0.1:0")]
+    listen: SocketAddr,
+    /// Seed of everything random.
+    #[arg(long, global = true, default_value_t = 1)]
+    seed: u64,
+    #[command(subcommand)]
+    what: What,
+}
+
+#[derive(Debug, Subcommand)]
+enum What {
+    /// A model engine.
+    Engine {
+        /// Versions that are loaded.
+        #[arg(long, value_delimiter = ',')]
+        versions: Vec<String>,
+        /// Requests that run at once.
+        #[arg(long, default_value_t = 8)]
+        slots: usize,
+        /// Milliseconds to read 1,000 characters of prompt.
+        #[arg(long, default_value_t = 2)]
+        prefill_ms: u64,
+        /// Milliseconds of one token.
+        #[arg(long, default_value_t = 1)]
+        token_ms: u64,
+        /// Take orders with an old fencing number.
+        #[arg(long)]
+        ignore_fencing: bool,
+    },
+    /// The host list.
+    Hosts,
+    /// The log service.
+    Log,
+    /// The rating service.
+    Rating,
+    /// A plain service.
+    Service,
+    /// The weight store.
+    Weights,
+}
+
+fn main() -> eyre::Result<()> {
+    let args = Args::parse();
+    let addr = match args.what {
+        What::Engine { versions, slots, prefill_ms, token_ms, ignore_fencing } => {
+            let settings = EngineSettings {
+                versions,
+                slots,
+                prefill_ms,
+                token_ms,
+                fencing: !ignore_fencing,
+                seed: args.seed,
+                ..EngineSettings::default()
+            };
+            keep(Engine::start(args.listen, settings)?, |e| e.addr)
+        }
+        What::Hosts => keep(HostList::start(args.listen)?, |s| s.addr),
+        What::Log => keep(LogService::start(args.listen, args.seed)?, |s| s.addr),
+        What::Rating => keep(Rating::start(args.listen)?, |s| s.addr),
+        What::Service => keep(Service::start(args.listen)?, |s| s.addr),
+        What::Weights => keep(WeightStore::start(args.listen)?, |s| s.addr),
+    };
+    println!("{addr}");
+    smol::block_on(async {
+        loop {
+            smol::Timer::after(Duration::from_secs(3600)).await;
+        }
+    })
+}
+
+/// Leaves a stand-in running for the life of the process.
+fn keep<T>(standin: T, addr: impl FnOnce(&T) -> SocketAddr) -> SocketAddr {
+    let addr = addr(&standin);
+    std::mem::forget(standin);
+    addr
+}
--- /dev/null
+++ b/standins/src/engine.rs
@@ -0,0 +1,426 @@
+//! A model engine: batches continuously, caches prompt prefixes, reports its load late.
+
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use redwingfold_http::{BodySender, Peer, Request, Response, StatusCode, channel_body};
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use smol::Timer;
+
+use crate::history::History;
+use crate::rating::BAD_MARK;
+use crate::serve;
+
+/// What an engine is like when nothing is wrong.
+#[derive(Clone, Debug)]
+pub struct EngineSettings {
+    /// Versions that are loaded.
+    pub versions: Vec<String>,
+    /// Requests that run at once.
+    pub slots: usize,
+    /// Time to read 1,000 characters of prompt that are not cached.
+    pub prefill_ms: u64,
+    /// Time of one token when one request runs; more run slower by a tenth each.
+    pub token_ms: u64,
+    /// Prompt prefixes that are cached.
+    pub cache: usize,
+    /// Age of the load that is reported.
+    pub report_lag: Duration,
+    /// Whether orders with an old fencing number are refused.
+    pub fencing: bool,
+    /// Seed of the bad answers.
+    pub seed: u64,
+}
+
+impl Default for EngineSettings {
+    fn default() -> Self {
+        Self {
+            versions: vec!["slip-1".to_owned()],
+            slots: 8,
+            prefill_ms: 2,
+            token_ms: 1,
+            cache: 64,
+            report_lag: Duration::from_millis(200),
+            fencing: true,
+            seed: 1,
+        }
+    }
+}
+
+/// How an engine misbehaves.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+pub struct EngineFaults {
+    /// Of 1,000 answers by a version, how many are bad.
+    pub bad: BTreeMap<String, u32>,
+    /// Takes requests and never answers.
+    pub silent: bool,
+    /// Breaks the stream off after so many tokens.
+    pub die_after: Option<u32>,
+    /// Times that everything takes longer, in percent; 0 is none.
+    pub slow_percent: u64,
+    /// Load that it reports instead of its own.
+    pub lie: Option<usize>,
+    /// Refuses every request with 500.
+    pub fail: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    settings: EngineSettings,
+    faults: EngineFaults,
+    running: usize,
+    waiting: usize,
+    reports: VecDeque<(Instant, usize, usize)>,
+    cache: VecDeque<String>,
+    fence: u64,
+    rng: fastrand::Rng,
+}
+
+/// The running stand-in.
+#[derive(Clone, Debug)]
+pub struct Engine {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Runs, ends, cancels and orders.
+    pub history: History,
+    state: Arc<Mutex<State>>,
+    _task: Arc<smol::Task<()>>,
+}
+
+const PREFIX_CHARS: usize = 64;
+const DEFAULT_TOKENS: u64 = 8;
+const QUEUE_POLL: Duration = Duration::from_millis(1);
+
+/// Returns the token at an index of a request's answer: it names version and request, so that a
+/// checker sees a token that belongs to another answer.
+fn token(version: &str, request: &str, prompt: &str, index: u64, bad: bool) -> String {
+    let hash = xxhash_rust::xxh3::xxh3_64(prompt.as_bytes()) as u16;
+    let tail = if bad { BAD_MARK } else { "ok" };
+    let short = &request[..request.len().min(8)];
+    format!("{index}:{version}:{short}:{hash:04x}:{tail} ")
+}
+
+/// Returns the whole answer of a good run.
+pub fn answer_text(version: &str, request: &str, prompt: &str, tokens: u64) -> String {
+    (0..tokens).map(|i| token(version, request, prompt, i, false)).collect()
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Engine {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
+    pub fn start(addr: SocketAddr, settings: EngineSettings) -> std::io::Result<Self> {
+        let state = Arc::new(Mutex::new(State {
+            rng: fastrand::Rng::with_seed(settings.seed),
+            settings,
+            faults: EngineFaults::default(),
+            running: 0,
+            waiting: 0,
+            reports: VecDeque::new(),
+            cache: VecDeque::new(),
+            fence: 0,
+        }));
+        let history = History::default();
+        let (inner, events) = (state.clone(), history.clone());
+        let (addr, task) =
+            serve::start(addr, move |req, peer| handle(req, peer, inner.clone(), events.clone()))?;
+        Ok(Self { addr, history, state, _task: Arc::new(task) })
+    }
+
+    /// Changes the faults.
+    pub fn set(&self, change: impl FnOnce(&mut EngineFaults)) {
+        change(&mut lock(&self.state).faults);
+    }
+
+    /// Returns the versions that are loaded.
+    pub fn versions(&self) -> Vec<String> {
+        lock(&self.state).settings.versions.clone()
+    }
+}
+
+impl State {
+    fn note_load(&mut self) {
+        let lag = self.settings.report_lag;
+        self.reports.push_back((Instant::now(), self.running, self.waiting));
+        while self.reports.len() > 1 && self.reports[1].0.elapsed() >= lag {
+            self.reports.pop_front();
+        }
+    }
+
+    fn report(&mut self) -> Value {
+        self.note_load();
+        let (_, running, waiting) = self.reports.front().copied().unwrap_or((Instant::now(), 0, 0));
+        json!({
+            "running": self.faults.lie.unwrap_or(running),
+            "waiting": self.faults.lie.map_or(waiting, |_| 0),
+            "slots": self.settings.slots,
+            "versions": self.settings.versions,
+        })
+    }
+
+    /// Returns whether the prompt's prefix was cached, and caches it.
+    fn cached(&mut self, version: &str, prompt: &str) -> bool {
+        let prefix: String = prompt.chars().take(PREFIX_CHARS).collect();
+        let key = format!("{version} {prefix}");
+        let hit = match self.cache.iter().position(|k| *k == key) {
+            Some(i) => self.cache.remove(i).is_some(),
+            None => false,
+        };
+        self.cache.push_back(key);
+        while self.cache.len() > self.settings.cache {
+            self.cache.pop_front();
+        }
+        hit
+    }
+
+    fn slowed(&self, ms: u64) -> Duration {
+        let crowd = 10 + self.running.saturating_sub(1) as u64;
+        Duration::from_micros(ms * 100 * crowd * (100 + self.faults.slow_percent) / 100)
+    }
+}
+
+/// Counts a request as waiting, then as running, until it is dropped.
+struct Slot {
+    state: Arc<Mutex<State>>,
+    running: bool,
+}
+
+impl Slot {
+    fn new(state: Arc<Mutex<State>>) -> Self {
+        {
+            let mut s = lock(&state);
+            s.waiting += 1;
+            s.note_load();
+        }
+        Self { state, running: false }
+    }
+
+    async fn begin(&mut self) {
+        loop {
+            {
+                let mut s = lock(&self.state);
+                if s.running < s.settings.slots {
+                    s.waiting -= 1;
+                    s.running += 1;
+                    s.note_load();
+                    self.running = true;
+                    return;
+                }
+            }
+            Timer::after(QUEUE_POLL).await;
+        }
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut s = lock(&self.state);
+        if self.running {
+            s.running -= 1;
+        } else {
+            s.waiting -= 1;
+        }
+        s.note_load();
+    }
+}
+
+async fn handle(
+    mut req: Request,
+    peer: Peer,
+    state: Arc<Mutex<State>>,
+    history: History,
+) -> Response {
+    let get = || lock(&state).faults.clone();
+    let set = |faults| lock(&state).faults = faults;
+    if let Some(res) = serve::control(&mut req, &history, get, set).await {
+        return res;
+    }
+    match req.url().path() {
+        "/v1/load" => serve::json(&lock(&state).report()),
+        "/v1/orders" => order(&mut req, &state, &history).await,
+        "/v1/chat/completions" => chat(req, peer, state, history).await,
+        _ => serve::status(404, "no such path"),
+    }
+}
+
+async fn order(req: &mut Request, state: &Mutex<State>, history: &History) -> Response {
+    let body = serve::body_json(req).await.unwrap_or_default();
+    let fence = body["fencing"].as_u64().unwrap_or(0);
+    let mut s = lock(state);
+    if s.settings.fencing && fence < s.fence {
+        history.add("order_refused", "", "", body.to_string());
+        return serve::status(409, "old fencing number");
+    }
+    s.fence = s.fence.max(fence);
+    if let Some(versions) = body["versions"].as_array() {
+        s.settings.versions =
+            versions.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
+    }
+    history.add("order", "", "", body.to_string());
+    serve::json(&json!({"fencing": s.fence, "versions": s.settings.versions}))
+}
+
+struct Run {
+    version: String,
+    request: String,
+    prompt: String,
+    tokens: u64,
+    bad: bool,
+}
+
+async fn chat(
+    mut req: Request,
+    peer: Peer,
+    state: Arc<Mutex<State>>,
+    history: History,
+) -> Response {
+    let request = req.header("x-request-id").map_or(String::new(), |v| v.to_string());
+    let Some(body) = serve::body_json(&mut req).await else {
+        return serve::status(400, "not JSON");
+    };
+    let version = body["model"].as_str().unwrap_or_default().to_owned();
+    let faults = lock(&state).faults.clone();
+    if faults.fail {
+        return serve::status(500, "failed");
+    }
+    if !lock(&state).settings.versions.contains(&version) {
+        return serve::status(404, "version is not loaded");
+    }
+    history.add("run", &version, &request, "");
+    if faults.silent {
+        peer.gone().await;
+        history.add("cancel", &version, &request, "silent");
+        return serve::status(500, "silent");
+    }
+    let prompt = body["messages"]
+        .as_array()
+        .and_then(|m| m.last())
+        .and_then(|m| m["content"].as_str())
+        .unwrap_or_default()
+        .to_owned();
+    let bad_share = faults.bad.get(&version).copied().unwrap_or(0);
+    let bad = lock(&state).rng.u32(0..1000) < bad_share;
+    let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
+    let run = Run { version, request, prompt, tokens, bad };
+    if body["stream"].as_bool() == Some(true) {
+        let (tx, body) = channel_body();
+        smol::spawn(stream(run, tx, state, history)).detach();
+        let mut res = Response::new(StatusCode::Ok);
+        res.insert_header("content-type", "text/event-stream");
+        res.set_body(body);
+        return res;
+    }
+    let whole = whole(&run, state, &history);
+    let gone = async {
+        peer.gone().await;
+        history.add("cancel", &run.version, &run.request, "");
+        serve::status(500, "caller is gone")
+    };
+    whole.or(gone).await
+}
+
+async fn prefill(run: &Run, slot: &mut Slot) {
+    slot.begin().await;
+    let wait = {
+        let mut s = lock(&slot.state);
+        let hit = s.cached(&run.version, &run.prompt);
+        let chars = if hit { run.prompt.len() as u64 / 10 } else { run.prompt.len() as u64 };
+        let per_thousand = s.settings.prefill_ms;
+        s.slowed(per_thousand * (chars / 100).max(1)) / 10
+    };
+    Timer::after(wait).await;
+}
+
+async fn whole(run: &Run, state: Arc<Mutex<State>>, history: &History) -> Response {
+    let mut slot = Slot::new(state);
+    prefill(run, &mut slot).await;
+    let mut text = String::new();
+    for index in 0..run.tokens {
+        let wait = { lock(&slot.state).slowed_token() };
+        Timer::after(wait).await;
+        text += &token(&run.version, &run.request, &run.prompt, index, run.bad);
+    }
+    history.add("end", &run.version, &run.request, if run.bad { "bad" } else { "good" });
+    serve::json(&json!({
+        "id": run.request,
+        "object": "chat.completion",
+        "model": run.version,
+        "choices": [{
+            "index": 0,
+            "message": {"role": "assistant", "content": text},
+            "finish_reason": "stop",
+        }],
+        "usage": usage(run),
+    }))
+}
+
+fn usage(run: &Run) -> Value {
+    let prompt = run.prompt.len() as u64 / 4;
+    json!({
+        "prompt_tokens": prompt,
+        "completion_tokens": run.tokens,
+        "total_tokens": prompt + run.tokens,
+    })
+}
+
+impl State {
+    fn slowed_token(&self) -> Duration {
+        self.slowed(self.settings.token_ms)
+    }
+}
+
+async fn stream(run: Run, tx: BodySender, state: Arc<Mutex<State>>, history: History) {
+    let mut slot = Slot::new(state);
+    let sent = async {
+        prefill(&run, &mut slot).await;
+        for index in 0..run.tokens {
+            let (wait, die_after) = {
+                let s = lock(&slot.state);
+                (s.slowed_token(), s.faults.die_after)
+            };
+            if die_after.is_some_and(|n| index >= u64::from(n)) {
+                history.add("die", &run.version, &run.request, "");
+                return Err(true);
+            }
+            Timer::after(wait).await;
+            let text = token(&run.version, &run.request, &run.prompt, index, run.bad);
+            let last = index + 1 == run.tokens;
+            let mut event = json!({
+                "id": run.request,
+                "object": "chat.completion.chunk",
+                "model": run.version,
+                "choices": [{
+                    "index": 0,
+                    "delta": {"content": text},
+                    "finish_reason": if last { json!("stop") } else { Value::Null },
+                }],
+            });
+            if last {
+                event["usage"] = usage(&run);
+            }
+            tx.send(format!("data: {event}\n\n").into_bytes()).await.map_err(|_| false)?;
+        }
+        tx.send(b"data: [DONE]\n\n".to_vec()).await.map_err(|_| false)
+    };
+    let gone = async {
+        tx.closed().await;
+        Err(false)
+    };
+    match sent.or(gone).await {
+        Ok(()) => {
+            history.add("end", &run.version, &run.request, if run.bad { "bad" } else { "good" })
+        }
+        Err(true) => tx.abort("died").await,
+        Err(false) => history.add("cancel", &run.version, &run.request, ""),
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/caller.rs
@@ -0,0 +1,209 @@
+//! A caller: sends requests to an entry and notes what came back.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use futures_lite::{AsyncReadExt, FutureExt};
+use redwingfold_http::{Method, Request, Url, open_stream};
+use serde_json::{Value, json};
+use smol::Timer;
+
+use super::objects::key_of;
+
+/// What came back.
+#[derive(Clone, Debug, Default)]
+pub struct Answered {
+    /// HTTP status; 0 if no head came.
+    pub status: u16,
+    /// Headers of interest, by lower-case name.
+    pub headers: Vec<(String, String)>,
+    /// The body as far as it came.
+    pub body: Vec<u8>,
+    /// Whether the body ended as HTTP says that it ends.
+    pub whole: bool,
+    /// Time to the first byte of the body.
+    pub first_byte: Duration,
+    /// Time to the end.
+    pub took: Duration,
+    /// What went wrong on the way.
+    pub error: String,
+}
+
+impl Answered {
+    /// Returns a header.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+    }
+
+    /// Returns the body as JSON, or null.
+    pub fn json(&self) -> Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns the body as text.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the answer's text, of a whole or a streamed chat answer.
+    pub fn content(&self) -> String {
+        let text = self.text();
+        if let Some(content) = self.json()["choices"][0]["message"]["content"].as_str() {
+            return content.to_owned();
+        }
+        let events = text.lines().filter_map(|line| line.strip_prefix("data: "));
+        let values = events.filter_map(|e| serde_json::from_str::<Value>(e).ok());
+        values
+            .filter_map(|v| v["choices"][0]["delta"]["content"].as_str().map(str::to_owned))
+            .collect()
+    }
+
+    /// Says whether a streamed chat answer came with its end mark.
+    pub fn is_whole_stream(&self) -> bool {
+        self.whole && self.text().contains("data: [DONE]")
+    }
+
+    /// Returns the error's code and run state.
+    pub fn error_code(&self) -> (String, String) {
+        let error = &self.json()["error"];
+        let text = |v: &Value| v.as_str().unwrap_or_default().to_owned();
+        (text(&error["code"]), text(&error["run_state"]))
+    }
+}
+
+/// A request to send.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers.
+    pub headers: Vec<(String, String)>,
+    /// Body.
+    pub body: Vec<u8>,
+}
+
+impl Ask {
+    /// Makes a chat request.
+    pub fn chat(customer: &str, model: &str, prompt: &str) -> Self {
+        let body = json!({"model": model, "messages": [{"role": "user", "content": prompt}]});
+        Self::new(Method::Post, "/v1/chat/completions", customer).body(body.to_string())
+    }
+
+    /// Makes any request.
+    pub fn new(method: Method, target: &str, customer: &str) -> Self {
+        let headers = vec![("authorization".to_owned(), format!("Bearer {}", key_of(customer)))];
+        Self { method, target: target.to_owned(), headers, body: Vec::new() }
+    }
+
+    /// Sets the body.
+    #[must_use]
+    pub fn body(mut self, body: impl Into<Vec<u8>>) -> Self {
+        self.body = body.into();
+        self
+    }
+
+    /// Sets a field of a JSON body.
+    #[must_use]
+    pub fn field(mut self, name: &str, value: Value) -> Self {
+        let mut body: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        body[name] = value;
+        self.body = body.to_string().into_bytes();
+        self
+    }
+
+    /// Asks for a streamed answer of so many tokens.
+    #[must_use]
+    pub fn stream(self, tokens: u64) -> Self {
+        self.field("stream", json!(true)).field("max_tokens", json!(tokens))
+    }
+
+    /// Adds a header.
+    #[must_use]
+    pub fn header(mut self, name: &str, value: &str) -> Self {
+        self.headers.push((name.to_owned(), value.to_owned()));
+        self
+    }
+
+    /// Sets the session.
+    #[must_use]
+    pub fn session(self, id: &str) -> Self {
+        self.header("x-session-id", id)
+    }
+
+    /// Sets the idempotency key.
+    #[must_use]
+    pub fn key(self, key: &str) -> Self {
+        self.header("idempotency-key", key)
+    }
+}
+
+/// Sends requests to one entry.
+#[derive(Clone, Copy, Debug)]
+pub struct Caller {
+    /// The entry's address for callers.
+    pub addr: SocketAddr,
+}
+
+const CONNECT_LIMIT: Duration = Duration::from_secs(5);
+const LIMIT: Duration = Duration::from_secs(120);
+
+impl Caller {
+    /// Sends a request and reads what comes.
+    pub async fn send(&self, ask: &Ask) -> Answered {
+        let begun = Instant::now();
+        let mut answered = Answered::default();
+        let late = async {
+            Timer::after(LIMIT).await;
+            "late".to_owned()
+        };
+        answered.error = self.exchange(ask, &mut answered, begun).or(late).await;
+        answered.took = begun.elapsed();
+        answered
+    }
+
+    /// Sends a request from a thread without a runtime.
+    pub fn send_blocking(&self, ask: &Ask) -> Answered {
+        smol::block_on(self.send(ask))
+    }
+
+    async fn exchange(&self, ask: &Ask, answered: &mut Answered, begun: Instant) -> String {
+        let url = match Url::parse(&format!("http://{}{}", self.addr, ask.target)) {
+            Ok(url) => url,
+            Err(e) => return e.to_string(),
+        };
+        let mut req = Request::new(ask.method, url);
+        for (name, value) in &ask.headers {
+            req.insert_header(name.as_str(), value.as_str());
+        }
+        if !ask.body.is_empty() {
+            req.set_body(ask.body.clone());
+            req.insert_header("content-type", "application/json");
+        }
+        let mut res = match open_stream(self.addr, req, CONNECT_LIMIT).await {
+            Ok(res) => res,
+            Err(e) => return e.to_string(),
+        };
+        answered.status = u16::from(res.status());
+        answered.headers =
+            res.iter().map(|(k, v)| (k.as_str().to_lowercase(), v.as_str().to_owned())).collect();
+        let announced = answered.header("content-length").and_then(|v| v.parse::<usize>().ok());
+        let mut reader = res.take_body().into_reader();
+        let mut buf = vec![0; 16 * 1024];
+        loop {
+            match reader.read(&mut buf).await {
+                Ok(0) => break,
+                Ok(n) => {
+                    if answered.body.is_empty() {
+                        answered.first_byte = begun.elapsed();
+                    }
+                    answered.body.extend_from_slice(&buf[..n]);
+                }
+                Err(e) => return e.to_string(),
+            }
+        }
+        answered.whole = announced.is_none_or(|len| len == answered.body.len());
+        String::new()
+    }
+}
--- /dev/null
+++ b/standins/src/fleet/launch.rs
@@ -0,0 +1,401 @@
+//! Starting daemons against stand-ins.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::process::{Command, Output};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+use redwingfold_http::Method;
+use serde_json::{Value, json};
+
+use super::caller::{Ask, Caller};
+use super::objects::Objects;
+use super::process::Process;
+use crate::engine::{Engine, EngineSettings};
+use crate::host_list::{HostEntry, HostList};
+use crate::log_service::LogService;
+use crate::rating::Rating;
+use crate::service::Service;
+
+/// Longest wait for anything that must come about.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Lines of each daemon's log that a failed test shows.
+const SHOWN_LINES: usize = 40;
+
+const POLL: Duration = Duration::from_millis(5);
+
+/// Waits until a condition holds.
+///
+/// # Panics
+///
+/// If it does not come to hold in time.
+pub fn wait_until(what: &str, mut holds: impl FnMut() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "waited too long: {what}");
+        std::thread::sleep(POLL);
+    }
+}
+
+/// A running daemon.
+#[derive(Debug)]
+struct Daemon {
+    process: Process,
+    peer: SocketAddr,
+    listen: Option<SocketAddr>,
+}
+
+/// A fleet: stand-ins in this process, daemons as processes. Dropping it kills them.
+#[derive(Debug)]
+pub struct Fleet {
+    /// The log service.
+    pub log: LogService,
+    /// The host list.
+    pub hosts: HostList,
+    /// The rating service.
+    pub rating: Rating,
+    /// Engines, by the host of their side.
+    pub engines: BTreeMap<String, Engine>,
+    /// Plain services, by the host of their side.
+    pub services: BTreeMap<String, Service>,
+    daemons: BTreeMap<String, Daemon>,
+    entries: Vec<String>,
+    bin_dir: PathBuf,
+    dir: PathBuf,
+    overlay: Value,
+}
+
+/// What a fleet is made of.
+#[derive(Debug)]
+pub struct FleetBuilder {
+    bin_dir: PathBuf,
+    entries: usize,
+    sides: Vec<(String, String, Backend)>,
+    overlay: Value,
+}
+
+#[derive(Clone, Debug)]
+enum Backend {
+    Engine(EngineSettings),
+    Service(String),
+}
+
+static NEXT_DIR: AtomicU32 = AtomicU32::new(0);
+
+/// Failure domains that daemons are spread over.
+const DOMAINS: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+
+impl FleetBuilder {
+    /// Begins a fleet whose programs are in `bin_dir`.
+    pub fn new(bin_dir: &Path) -> Self {
+        let overlay = json!({"entry": {}, "side": {}});
+        Self { bin_dir: bin_dir.to_owned(), entries: 1, sides: Vec::new(), overlay }
+    }
+
+    /// Sets the number of entries; they are called `entry-0` and so on.
+    #[must_use]
+    pub fn entries(mut self, n: usize) -> Self {
+        self.entries = n;
+        self
+    }
+
+    /// Adds a side with an engine.
+    #[must_use]
+    pub fn engine(mut self, host: &str, settings: EngineSettings) -> Self {
+        let domain = DOMAINS[self.sides.len() % DOMAINS.len()].to_owned();
+        self.sides.push((host.to_owned(), domain, Backend::Engine(settings)));
+        self
+    }
+
+    /// Adds a side with a plain service.
+    #[must_use]
+    pub fn service(mut self, host: &str, service: &str) -> Self {
+        let domain = DOMAINS[self.sides.len() % DOMAINS.len()].to_owned();
+        self.sides.push((host.to_owned(), domain, Backend::Service(service.to_owned())));
+        self
+    }
+
+    /// Sets a group of settings of all daemons of a role.
+    #[must_use]
+    pub fn settings(mut self, role: &str, group: &str, value: Value) -> Self {
+        self.overlay[role][group] = value;
+        self
+    }
+
+    /// Starts everything and waits until every entry is ready.
+    ///
+    /// # Panics
+    ///
+    /// If something does not start.
+    pub fn start(self, objects: &Objects) -> Fleet {
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        let n = NEXT_DIR.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("redwingfold-{}-{n}", std::process::id()));
+        std::fs::create_dir_all(&dir).expect("folder for settings");
+        let mut fleet = Fleet {
+            log: LogService::start(any, 1).expect("log"),
+            hosts: HostList::start(any).expect("hosts"),
+            rating: Rating::start(any).expect("rating"),
+            engines: BTreeMap::new(),
+            services: BTreeMap::new(),
+            daemons: BTreeMap::new(),
+            entries: (0..self.entries).map(|i| format!("entry-{i}")).collect(),
+            bin_dir: self.bin_dir,
+            dir,
+            overlay: self.overlay,
+        };
+        let mut names: Vec<_> = fleet.entries.clone();
+        names.extend(self.sides.iter().map(|(host, ..)| host.clone()));
+        names.push("ctl".to_owned());
+        fleet.make_keys(&names);
+        fleet.write_ctl_settings();
+        for (host, domain, backend) in self.sides {
+            match backend {
+                Backend::Engine(settings) => {
+                    let engine = Engine::start(any, settings).expect("engine");
+                    fleet.engines.insert(host.clone(), engine);
+                }
+                Backend::Service(name) => {
+                    let service = Service::start(any).expect("service");
+                    std::fs::write(fleet.dir.join(format!("{host}.service")), name).expect("note");
+                    fleet.services.insert(host.clone(), service);
+                }
+            }
+            fleet.start_side(&host, &domain);
+        }
+        for (i, host) in fleet.entries.clone().iter().enumerate() {
+            fleet.start_entry(host, DOMAINS[i % DOMAINS.len()]);
+        }
+        fleet.list_hosts(Duration::ZERO);
+        fleet.publish(objects);
+        for host in fleet.entries.clone() {
+            fleet.wait_ready(&host);
+        }
+        fleet
+    }
+}
+
+impl Fleet {
+    fn make_keys(&self, names: &[String]) {
+        let keys = self.dir.join("keys");
+        let output = Command::new(self.bin_dir.join("redwingfold-ctl"))
+            .args(["keys", "--out"])
+            .arg(&keys)
+            .args(names)
+            .output()
+            .expect("redwingfold-ctl");
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+
+    fn tls(&self, name: &str) -> Value {
+        let file = |f: String| self.dir.join("keys").join(f);
+        json!({
+            "fleet": file("fleet.pem".to_owned()),
+            "cert": file(format!("{name}.pem")),
+            "key": file(format!("{name}.key")),
+        })
+    }
+
+    fn write_ctl_settings(&self) {
+        let settings = json!({
+            "log": {"address": self.log.addr},
+            "host_list": {"address": self.hosts.addr},
+            "tls": self.tls("ctl"),
+        });
+        std::fs::write(self.dir.join("ctl.json"), settings.to_string()).expect("ctl settings");
+    }
+
+    fn common(&self, host: &str, domain: &str, role: &str) -> Value {
+        let mut settings = json!({
+            "host": host,
+            "failure_domain": domain,
+            "peer_listen": "127.0.0.1:0",
+            "log": {"address": self.log.addr},
+            "host_list": {"address": self.hosts.addr, "every_ms": 200},
+            "tls": self.tls(host),
+            "batch": {"every_ms": 200},
+        });
+        let overlay = self.overlay[role].as_object().cloned().unwrap_or_default();
+        for (group, value) in overlay {
+            match (settings[&group].as_object_mut(), value) {
+                (Some(held), Value::Object(new)) => held.extend(new),
+                (_, value) => settings[&group] = value,
+            }
+        }
+        settings
+    }
+
+    fn launch(&mut self, host: &str, domain: &str, role: &str, settings: &Value) {
+        let path = self.dir.join(format!("{host}.json"));
+        std::fs::write(&path, settings.to_string()).expect("settings");
+        std::fs::write(self.dir.join(format!("{host}.domain")), domain).expect("domain");
+        let program = self.bin_dir.join(format!("redwingfold-{role}"));
+        let args = ["--settings", path.to_str().expect("path")];
+        let process = Process::start(host, &program, &args).expect("daemon");
+        let line = process.wait_for_line(&format!("event={role}_started"), PATIENCE);
+        let line = line.unwrap_or_else(|printed| panic!("{printed}"));
+        let addr = |key: &str| {
+            let value = line.split(' ').find_map(|pair| pair.strip_prefix(key));
+            value.and_then(|v| v.parse::<SocketAddr>().ok())
+        };
+        let daemon =
+            Daemon { peer: addr("peer=").expect("peer address"), listen: addr("listen="), process };
+        self.daemons.insert(host.to_owned(), daemon);
+    }
+
+    /// Starts a side, or starts it anew after it ended.
+    pub fn start_side(&mut self, host: &str, domain: &str) {
+        let mut settings = self.common(host, domain, "side");
+        settings["backends"] = match (self.engines.get(host), self.services.get(host)) {
+            (Some(e), _) => {
+                json!([{"name": "engine-0", "address": e.addr, "kind": "engine", "slots": 64}])
+            }
+            (_, Some(s)) => {
+                let name = std::fs::read_to_string(self.dir.join(format!("{host}.service")));
+                json!([{"name": "svc-0", "address": s.addr, "kind": "service", "service": name.unwrap_or_default()}])
+            }
+            _ => json!([]),
+        };
+        self.launch(host, domain, "side", &settings);
+    }
+
+    /// Starts an entry, or starts it anew after it ended.
+    pub fn start_entry(&mut self, host: &str, domain: &str) {
+        let mut settings = self.common(host, domain, "entry");
+        settings["listen"] = json!("127.0.0.1:0");
+        if settings["limits"]["drain_accept_ms"].is_null() {
+            settings["limits"]["drain_accept_ms"] = json!(100);
+        }
+        if settings["rating"]["sample_per_mille"].as_u64().is_some() {
+            settings["rating"]["address"] = json!(self.rating.addr);
+        }
+        self.launch(host, domain, "entry", &settings);
+    }
+
+    /// Starts a daemon that ended anew, and lists its new address.
+    pub fn restart(&mut self, host: &str) {
+        let domain = std::fs::read_to_string(self.dir.join(format!("{host}.domain")));
+        let domain = domain.expect("domain");
+        match self.entries.iter().any(|e| e == host) {
+            true => self.start_entry(host, &domain),
+            false => self.start_side(host, &domain),
+        }
+        self.list_hosts(Duration::ZERO);
+    }
+
+    /// Lists all daemons as live.
+    pub fn list_hosts(&self, lag: Duration) {
+        let hosts = self.daemons.iter().map(|(host, daemon)| {
+            let domain = std::fs::read_to_string(self.dir.join(format!("{host}.domain")));
+            HostEntry {
+                host: host.clone(),
+                address: daemon.peer,
+                failure_domain: domain.expect("domain"),
+                role: if daemon.listen.is_some() { "entry" } else { "side" }.to_owned(),
+                state: "live".to_owned(),
+            }
+        });
+        self.hosts.set(hosts.collect(), lag);
+    }
+
+    /// Returns a daemon's process.
+    pub fn process(&self, host: &str) -> &Process {
+        &self.daemons[host].process
+    }
+
+    /// Returns a daemon's address for its peers.
+    pub fn peer_addr(&self, host: &str) -> SocketAddr {
+        self.daemons[host].peer
+    }
+
+    /// Returns a caller of an entry.
+    pub fn caller(&self, entry: usize) -> Caller {
+        let host = format!("entry-{entry}");
+        Caller { addr: self.daemons[&host].listen.expect("an entry") }
+    }
+
+    /// Returns the folder with settings and keys.
+    pub fn dir(&self) -> &Path {
+        &self.dir
+    }
+
+    /// Waits until an entry is ready and knows of every engine that answers.
+    pub fn wait_ready(&self, host: &str) {
+        let index = host.trim_start_matches("entry-").parse().expect("an entry");
+        let caller: Caller = self.caller(index);
+        let ready = Ask::new(Method::Get, "/readyz", "nobody");
+        wait_until("entry is ready", || caller.send_blocking(&ready).status == 200);
+        let sides = self.engines.len() + self.services.len();
+        let status = || self.daemon_status(host)["sides"].as_array().map_or(0, Vec::len);
+        wait_until("entry knows the sides", || status() >= sides);
+    }
+
+    /// Returns what a daemon says of itself.
+    pub fn daemon_status(&self, host: &str) -> Value {
+        let output = self.ctl(&["status", "--json"]);
+        let all: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+        let daemons = all.as_array().cloned().unwrap_or_default();
+        daemons.into_iter().find(|d| d["host"] == host).unwrap_or_default()
+    }
+
+    /// Runs the operator's tool.
+    pub fn ctl(&self, args: &[&str]) -> Output {
+        Command::new(self.bin_dir.join("redwingfold-ctl"))
+            .arg("--settings")
+            .arg(self.dir.join("ctl.json"))
+            .args(args)
+            .output()
+            .expect("redwingfold-ctl")
+    }
+
+    /// Writes objects to a file for the operator's tool.
+    pub fn write_objects(&self, name: &str, objects: &Objects) -> String {
+        let path = self.dir.join(format!("{name}.objects"));
+        std::fs::write(&path, objects.json()).expect("objects");
+        path.to_str().expect("path").to_owned()
+    }
+
+    /// Publishes objects.
+    ///
+    /// # Panics
+    ///
+    /// If they are not accepted.
+    pub fn publish(&self, objects: &Objects) {
+        let file = self.write_objects("publish", objects);
+        let output = self.ctl(&["publish", &file, "--reason", "test", "--allow-empty"]);
+        let said = String::from_utf8_lossy(&output.stderr);
+        assert!(
+            output.status.success(),
+            "publish: {said} {}",
+            String::from_utf8_lossy(&output.stdout)
+        );
+    }
+
+    /// Waits until every running daemon has the newest configuration in force.
+    pub fn wait_in_force(&self) {
+        let newest = || self.log.records("config").last().map_or(0, |(offset, _)| *offset);
+        wait_until("configuration in force everywhere", || {
+            let output = self.ctl(&["status", "--json"]);
+            let all: Value = serde_json::from_slice(&output.stdout).unwrap_or_default();
+            let daemons = all.as_array().cloned().unwrap_or_default();
+            !daemons.is_empty() && daemons.iter().all(|d| d["offset"] == newest())
+        });
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        if std::thread::panicking() {
+            for (host, daemon) in &self.daemons {
+                let lines = daemon.process.lines();
+                let last = &lines[lines.len().saturating_sub(SHOWN_LINES)..];
+                eprintln!("--- {host}\n{}", last.join("\n"));
+            }
+        }
+        self.daemons.clear();
+        std::fs::remove_dir_all(&self.dir).ok();
+    }
+}
--- /dev/null
+++ b/standins/src/history.rs
@@ -0,0 +1,63 @@
+//! What happened at a stand-in, for checkers to read after a run.
+
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{SystemTime, UNIX_EPOCH};
+
+use serde::{Deserialize, Serialize};
+
+/// One thing that happened.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Event {
+    /// Microseconds since 1970, by the machine's clock, which all processes of a test share.
+    pub at_us: u64,
+    /// What happened: `run`, `end`, `cancel`, `append`, `order` and so on.
+    pub what: String,
+    /// To what: a version, a stream, a path.
+    pub of: String,
+    /// The request's id or key, if there is one.
+    pub request: String,
+    /// Anything else.
+    pub detail: String,
+}
+
+/// Events in the order in which they happened.
+#[derive(Clone, Debug, Default)]
+pub struct History(Arc<Mutex<Vec<Event>>>);
+
+impl History {
+    /// Adds an event, now.
+    pub fn add(&self, what: &str, of: &str, request: &str, detail: impl Into<String>) {
+        let mut events = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        events.push(Event {
+            at_us: now_us(),
+            what: what.to_owned(),
+            of: of.to_owned(),
+            request: request.to_owned(),
+            detail: detail.into(),
+        });
+    }
+
+    /// Returns all events so far.
+    pub fn events(&self) -> Vec<Event> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Returns the events of one sort.
+    pub fn of(&self, what: &str) -> Vec<Event> {
+        self.events().into_iter().filter(|e| e.what == what).collect()
+    }
+
+    /// Forgets all events, so that a long trial stays small.
+    pub fn clear(&self) {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clear();
+    }
+}
+
+fn now_us() -> u64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as u64)
+}
+
+/// Returns milliseconds since 1970.
+pub fn now_ms() -> u64 {
+    now_us() / 1000
+}
--- /dev/null
+++ b/standins/src/host_list.rs
@@ -0,0 +1,112 @@
+//! The host list: live and leaving hosts, some time after the fact.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+use redwingfold_http::Request;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::history::History;
+use crate::serve;
+
+/// One host as the platform lists it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct HostEntry {
+    /// Name.
+    pub host: String,
+    /// Where its redwingfold process is reached.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub failure_domain: String,
+    /// `entry` or `side`.
+    pub role: String,
+    /// `live` or `leaving`.
+    pub state: String,
+}
+
+#[derive(Clone, Debug, Deserialize, Serialize)]
+struct Control {
+    hosts: Vec<HostEntry>,
+    lag_ms: u64,
+    outage: bool,
+}
+
+#[derive(Debug)]
+struct State {
+    control: Control,
+    shown: Vec<HostEntry>,
+    pending: Vec<(Instant, Vec<HostEntry>)>,
+}
+
+/// The running stand-in.
+#[derive(Clone, Debug)]
+pub struct HostList {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    state: Arc<Mutex<State>>,
+    _task: Arc<smol::Task<()>>,
+}
+
+impl State {
+    fn set(&mut self, control: Control) {
+        let due = Instant::now() + Duration::from_millis(control.lag_ms);
+        self.pending.push((due, control.hosts.clone()));
+        self.control = control;
+    }
+
+    fn shown(&mut self) -> &[HostEntry] {
+        let now = Instant::now();
+        while self.pending.first().is_some_and(|(due, _)| *due <= now) {
+            self.shown = self.pending.remove(0).1;
+        }
+        &self.shown
+    }
+}
+
+impl HostList {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
+    pub fn start(addr: SocketAddr) -> std::io::Result<Self> {
+        let control = Control { hosts: Vec::new(), lag_ms: 0, outage: false };
+        let state = Arc::new(Mutex::new(State { control, shown: Vec::new(), pending: Vec::new() }));
+        let inner = state.clone();
+        let (addr, task) = serve::start(addr, move |mut req: Request, _| {
+            let state = inner.clone();
+            async move {
+                let lock = || state.lock().unwrap_or_else(PoisonError::into_inner);
+                let (get, set) = (|| lock().control.clone(), |control| lock().set(control));
+                match serve::control(&mut req, &History::default(), get, set).await {
+                    Some(res) => res,
+                    None if lock().control.outage => serve::status(503, "outage"),
+                    None if req.url().path() == "/hosts" => {
+                        serve::json(&json!({"hosts": lock().shown()}))
+                    }
+                    None => serve::status(404, "no such path"),
+                }
+            }
+        })?;
+        Ok(Self { addr, state, _task: Arc::new(task) })
+    }
+
+    /// Changes the hosts; readers see it after `lag`.
+    pub fn set(&self, hosts: Vec<HostEntry>, lag: Duration) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let outage = state.control.outage;
+        state.set(Control { hosts, lag_ms: lag.as_millis() as u64, outage });
+    }
+
+    /// Changes hosts one by one; readers see it after `lag`.
+    pub fn update(&self, lag: Duration, change: impl FnOnce(&mut Vec<HostEntry>)) {
+        let mut hosts = {
+            let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+            state.control.hosts.clone()
+        };
+        change(&mut hosts);
+        self.set(hosts, lag);
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,22 @@
+//! Small stand-ins of the platform's services, for tests and trials.
+//!
+//! Each listens on loopback, behaves as docs/PLATFORM.md says the platform does, and takes orders
+//! to misbehave on `POST /control`. `GET /history` returns what happened, by one clock.
+
+mod engine;
+pub mod fleet;
+mod history;
+mod host_list;
+mod log_service;
+mod rating;
+mod serve;
+mod service;
+mod weight_store;
+
+pub use engine::{Engine, EngineFaults, EngineSettings, answer_text};
+pub use history::{Event, History, now_ms};
+pub use host_list::{HostEntry, HostList};
+pub use log_service::{LogFaults, LogService};
+pub use rating::Rating;
+pub use service::Service;
+pub use weight_store::WeightStore;
--- /dev/null
+++ b/standins/src/weight_store.rs
@@ -0,0 +1,66 @@
+//! The weight store: hands out permission to load weights, at a limited rate.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Instant;
+
+use redwingfold_http::Request;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::history::History;
+use crate::serve;
+
+#[derive(Clone, Copy, Debug, Deserialize, Serialize)]
+struct Control {
+    outage: bool,
+    loads_per_minute: u32,
+}
+
+/// The running stand-in.
+#[derive(Clone, Debug)]
+pub struct WeightStore {
+    /// Where it listens.
+    pub addr: SocketAddr,
+    /// Loads and refusals.
+    pub history: History,
+    _task: Arc<smol::Task<()>>,
+}
+
+impl WeightStore {
+    /// Starts it.
+    ///
+    /// # Errors
+    ///
+    /// If the address cannot be listened on.
+    pub fn start(addr: SocketAddr) -> std::io::Result<Self> {
+        let control = Arc::new(Mutex::new(Control { outage: false, loads_per_minute: 60 }));
+        let last = Arc::new(Mutex::new(None::<Instant>));
+        let history = History::default();
+        let events = history.clone();
+        let (addr, task) = serve::start(addr, move |mut req: Request, _| {
+            let (control, last, events) = (control.clone(), last.clone(), events.clone());
+            async move {
+                let lock = || control.lock().unwrap_or_else(PoisonError::into_inner);
+                let (get, set) = (|| *lock(), |new| *lock() = new);
+                if let Some(res) = serve::control(&mut req, &events, get, set).await {
+                    return res;
+                }
+                let now = *lock();
+                let gap = 60.0 / f64::from(now.loads_per_minute.max(1));
+                let mut last = last.lock().unwrap_or_else(PoisonError::into_inner);
+                let wait = last.map_or(0.0, |t| gap - t.elapsed().as_secs_f64());
+                if now.outage || wait > 0.0 {
+                    events.add("refused", req.url().path(), "", "");
+                    let mut res = serve::status(429, "too many loads");
+                    res.insert_header("retry-after", format!("{}", wait.max(1.0).ceil()));
+                    return res;
+                }
+                *last = Some(Instant::now());
+                events.add("load", req.url().path(), "", "");
+                serve::json(&json!({"ok": true}))
+            }
+        })?;
+        Ok(Self { addr, history, _task: Arc::new(task) })
+    }
+}
