feat: add the load tool, the lab and the quickstart

Cause: the users ask for one command that shows everything, and for figures of what the router adds. Found by the first run of the lab: the side held 612 MiB after some 60,000 requests. Cause: each request waits for a change of the configuration beside its answer, and each such wait left its sender in a list that only a change cleared. Ruled out: bills (forgotten on confirmation), pins (no sessions in that load), the calls table (no claims). Change: event-listener, whose listeners unregister when dropped, in place of the list.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -13,7 +13,7 @@
 use smol::net::TcpStream;
 
 /// Idle connections kept for one server.
-const MAX_IDLE: usize = 8;
+const MAX_IDLE: usize = 64;
 
 /// A whole answer.
 #[derive(Clone, Debug)]
@@ -106,8 +106,7 @@
 impl Client {
     /// Calls a server and reads the whole answer.
     ///
-    /// `target` is the path and query. A call that fails on a connection that was used before is
-    /// not repeated here: the server may have received it.
+    /// `target` is the path and query, and a body is JSON.
     ///
     /// # Errors
     ///
@@ -128,6 +127,24 @@
             req.set_body(body);
             req.insert_header(headers::CONTENT_TYPE, "application/json");
         }
+        self.send(addr, req, timeout, max_body).await
+    }
+
+    /// Sends a request and reads the whole answer.
+    ///
+    /// A call that fails on a connection that was used before is not repeated here: the server may
+    /// have received it.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallError`].
+    pub async fn send(
+        &self,
+        addr: SocketAddr,
+        req: Request,
+        timeout: Duration,
+        max_body: usize,
+    ) -> Result<Answer, CallError> {
         let stream = match self.take_idle(addr) {
             Some(stream) => stream,
             None => connect(addr, timeout).await?,
--- /dev/null
+++ b/lab/src/args.rs
@@ -0,0 +1,50 @@
+//! The command line.
+
+use std::path::PathBuf;
+
+use clap::{Parser, Subcommand};
+
+use crate::{overhead, quickstart};
+
+/// The quickstart and the experiments.
+#[derive(Debug, Parser)]
+#[command(name = "redwingfold-lab", version)]
+pub struct LabArgs {
+    /// What to do.
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Debug, Subcommand)]
+enum Command {
+    /// Time that the router adds to a direct call of an engine, and what a core carries.
+    Overhead {
+        /// Seconds of each of the loads.
+        #[arg(long, default_value_t = 5.0)]
+        seconds: f64,
+        /// Folder for the results.
+        #[arg(long, default_value = "results")]
+        out: PathBuf,
+    },
+    /// Start everything, send one whole and one streamed request, and stay up.
+    Quickstart {
+        /// Stop after the two answers.
+        #[arg(long)]
+        once: bool,
+        /// Folder with the example configurations.
+        #[arg(long, default_value = "examples")]
+        examples: PathBuf,
+    },
+}
+
+/// Runs a command; says whether it went as it should.
+///
+/// # Errors
+///
+/// What could not be started or written.
+pub fn run(args: LabArgs) -> eyre::Result<bool> {
+    match args.command {
+        Command::Overhead { seconds, out } => overhead::overhead(seconds, &out),
+        Command::Quickstart { once, examples } => quickstart::quickstart(once, &examples),
+    }
+}
--- /dev/null
+++ b/lab/src/quickstart.rs
@@ -0,0 +1,120 @@
+//! Everything at once, for a first look.
+
+use std::path::Path;
+
+use redwingfold_standins::fleet::{Answered, Ask, Caller};
+use serde_json::json;
+
+use crate::world::World;
+
+const SIDES: usize = 5;
+
+/// Starts a fleet with the examples of both users, sends two requests and stays up.
+pub(crate) fn quickstart(once: bool, examples: &Path) -> eyre::Result<bool> {
+    let hosts = ["entry-1", "entry-2", "gpu-1", "gpu-2", "gpu-3", "svc-1", "svc-2"];
+    let mut world = World::start(&hosts.map(str::to_owned))?;
+    let slips = ["engine", "--versions", "slip-small-3,slip-large-7"];
+    let drafts = ["engine", "--versions", "wortwerk-12,wortwerk-13"];
+    engine_side(&mut world, "gpu-1", "tarlac-hall", &slips)?;
+    engine_side(&mut world, "gpu-2", "nueva-hall", &slips)?;
+    engine_side(&mut world, "gpu-3", "halle-nord", &drafts)?;
+    service_side(&mut world, "svc-1", "pampanga-hall", "coop-api")?;
+    service_side(&mut world, "svc-2", "halle-ost", "tauschportal")?;
+    let more = json!({
+        "rating": {"address": world.rating.addr},
+        "limits": {"drain_accept_ms": 100},
+    });
+    world.daemon("entry", "entry-1", "tarlac-hall", &more)?;
+    world.daemon("entry", "entry-2", "halle-sued", &more)?;
+    world.list_hosts()?;
+    world.publish(&examples.join("ani-ledger"))?;
+    world.publish(&examples.join("hauszeit"))?;
+    world.wait_ready(SIDES)?;
+
+    let caller = Caller { addr: world.entry()? };
+    let whole = caller.send_blocking(&example_ask("demo-coop-tarlac", "slips", "2 sacks of urea"));
+    show("whole", &whole, &world)?;
+    let draft =
+        example_ask("demo-mitglieder", "wortwerk", "Draft an exchange agreement").stream(12);
+    let streamed = caller.send_blocking(&draft.session("draft-1"));
+    show("streamed", &streamed, &world)?;
+    let is_good = whole.status == 200 && whole.whole && streamed.is_whole_stream();
+    if once || !is_good {
+        return stop(world, is_good);
+    }
+    print_curl(&world)?;
+    smol::block_on(async {
+        redwingfold::stop_on_signal()?.recv().await.map_err(eyre::Report::from)
+    })?;
+    stop(world, true)
+}
+
+fn engine_side(world: &mut World, host: &str, domain: &str, args: &[&str]) -> eyre::Result<()> {
+    let address = world.backend(host, args)?;
+    let backend = json!([{"name": "engine-0", "address": address, "kind": "engine"}]);
+    world.daemon("side", host, domain, &json!({"backends": backend}))
+}
+
+fn service_side(world: &mut World, host: &str, domain: &str, name: &str) -> eyre::Result<()> {
+    let address = world.backend(host, &["service"])?;
+    let backend =
+        json!([{"name": "service-0", "address": address, "kind": "service", "service": name}]);
+    world.daemon("side", host, domain, &json!({"backends": backend}))
+}
+
+fn example_ask(key: &str, model: &str, prompt: &str) -> Ask {
+    let mut ask = Ask::chat("", model, prompt);
+    ask.headers = vec![("authorization".to_owned(), format!("Bearer {key}"))];
+    ask
+}
+
+fn show(what: &str, answered: &Answered, world: &World) -> eyre::Result<()> {
+    let header = |name: &str| answered.header(name).unwrap_or("-").to_owned();
+    println!(
+        "--- {what} answer: status {}, version {}",
+        answered.status,
+        header("x-model-version")
+    );
+    println!("{}", answered.text().trim_end());
+    println!("--- what was decided");
+    let output = world.ctl(&["explain", &header("x-decision-id")])?;
+    print!(
+        "{}{}",
+        String::from_utf8_lossy(&output.stdout),
+        String::from_utf8_lossy(&output.stderr)
+    );
+    Ok(())
+}
+
+fn print_curl(world: &World) -> eyre::Result<()> {
+    let entry = world.entry()?;
+    let chat = format!("http://{entry}/v1/chat/completions");
+    println!("--- up until Ctrl-C; try");
+    println!(
+        r#"curl -s {chat} -H 'Authorization: Bearer demo-coop-tarlac' -d '{{"model":"slips","messages":[{{"role":"user","content":"3 bags"}}]}}'"#
+    );
+    println!(
+        r#"curl -sN {chat} -H 'Authorization: Bearer demo-mitglieder' -H 'X-Session-Id: draft-1' -d '{{"model":"wortwerk","stream":true,"messages":[{{"role":"user","content":"Hallo"}}]}}'"#
+    );
+    println!(
+        "curl -s http://{entry}/tausch/confirm -H 'Authorization: Bearer demo-mitglieder' -H 'Idempotency-Key: swap-1' -d 'chalet'"
+    );
+    println!("redwingfold-ctl --settings {} status", world.ctl_settings().display());
+    Ok(())
+}
+
+/// Asks every daemon to stop, entries first, and sees that each does.
+fn stop(world: World, is_good: bool) -> eyre::Result<bool> {
+    let mut all_stopped = true;
+    for role in ["entry", "side"] {
+        let of_role = || world.daemons.iter().filter(|d| d.role == role);
+        of_role().for_each(|d| d.process.term());
+        for daemon in of_role() {
+            let status = daemon.process.wait(std::time::Duration::from_secs(20));
+            let stopped = status.is_some_and(|s| s.success());
+            println!("{}: {}", daemon.host, if stopped { "stopped" } else { "did not stop" });
+            all_stopped &= stopped;
+        }
+    }
+    Ok(is_good && all_stopped)
+}
--- a/src/config_store/feed.rs
+++ b/src/config_store/feed.rs
@@ -109,7 +109,7 @@
         let changed = store.changed();
         let offset = store.mark().offset;
         if offset.0 < covered.0 + settings.snapshot_every || !is_reader() {
-            changed.recv().await.ok();
+            changed.await;
             continue;
         }
         Timer::after(jittered(Millis(2_000))).await;
--- a/src/config_store/store.rs
+++ b/src/config_store/store.rs
@@ -4,10 +4,10 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
 use redwingfold_core::{
     AuditEntry, Config, Fold, Millis, Offset, RULES, RequestId, Snapshot, Verdict,
 };
-use smol::channel::{Receiver, Sender};
 
 use crate::clock::within;
 use crate::telemetry::Telemetry;
@@ -30,6 +30,7 @@
     inner: Mutex<Inner>,
     current: ArcSwap<Config>,
     mark: ArcSwap<ConfigMark>,
+    moved: Event,
     telemetry: Telemetry,
 }
 
@@ -37,7 +38,6 @@
 struct Inner {
     fold: Fold,
     recent: VecDeque<(Offset, Vec<u8>)>,
-    waiters: Vec<Sender<()>>,
 }
 
 impl ConfigStore {
@@ -46,6 +46,7 @@
             inner: Mutex::default(),
             current: ArcSwap::default(),
             mark: ArcSwap::default(),
+            moved: Event::new(),
             telemetry,
         }
     }
@@ -114,7 +115,7 @@
             ConfigMark { offset: config.offset, hash: inner.fold.state_hash(), rules: RULES };
         self.current.store(Arc::new(config));
         self.mark.store(Arc::new(mark));
-        inner.waiters.clear();
+        self.moved.notify(usize::MAX);
         self.telemetry.gauge("config.offset", mark.offset.0);
         self.telemetry.info(
             "config_in_force",
@@ -167,11 +168,9 @@
         self.lock().fold.verdict_of(id).cloned()
     }
 
-    /// Returns a channel that is closed at the next change.
-    pub(crate) fn changed(&self) -> Receiver<()> {
-        let (tx, rx) = smol::channel::bounded(1);
-        self.lock().waiters.push(tx);
-        rx
+    /// Returns a future that ends at the next change; take it before looking at the present.
+    pub(crate) fn changed(&self) -> EventListener {
+        self.moved.listen()
     }
 
     /// Waits until the configuration goes at least to `offset`; says whether it does.
@@ -182,7 +181,7 @@
                 if self.mark().offset >= offset {
                     break;
                 }
-                changed.recv().await.ok();
+                changed.await;
             }
         };
         within(limit, reached).await.is_some()
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,12 +1,12 @@
 //! What every daemon has: who it is, the configuration, and the platform's services.
 
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::Arc;
 
 use arc_swap::ArcSwap;
+use event_listener::{Event, EventListener};
 use redwingfold_core::{FailureDomain, HostId, Incarnation, Member, Millis, is_log_reader};
 use redwingfold_http::Client;
 use smol::Timer;
-use smol::channel::{Receiver, Sender};
 
 use crate::clock::{Clock, jittered};
 use crate::config_store::ConfigStore;
@@ -37,7 +37,7 @@
 #[derive(Debug, Default)]
 pub(crate) struct HostView {
     current: ArcSwap<Vec<HostRecord>>,
-    waiters: Mutex<Vec<Sender<()>>>,
+    moved: Event,
 }
 
 impl HostView {
@@ -45,11 +45,9 @@
         self.current.load_full()
     }
 
-    /// Returns a channel that is closed at the next change.
-    pub(crate) fn changed(&self) -> Receiver<()> {
-        let (tx, rx) = smol::channel::bounded(1);
-        self.waiters.lock().unwrap_or_else(PoisonError::into_inner).push(tx);
-        rx
+    /// Returns a future that ends at the next change; take it before looking at the present.
+    pub(crate) fn changed(&self) -> EventListener {
+        self.moved.listen()
     }
 
     fn set(&self, hosts: Vec<HostRecord>) -> bool {
@@ -57,7 +55,7 @@
             return false;
         }
         self.current.store(Arc::new(hosts));
-        self.waiters.lock().unwrap_or_else(PoisonError::into_inner).clear();
+        self.moved.notify(usize::MAX);
         true
     }
 }
--- a/src/entry/sides.rs
+++ b/src/entry/sides.rs
@@ -179,7 +179,7 @@
                 (record.clone(), task)
             });
         }
-        changed.recv().await.ok();
+        changed.await;
     }
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ctl;
 mod daemon;
 mod entry;
+pub mod load;
 mod peer;
 mod platform;
 pub mod settings;
--- /dev/null
+++ b/src/load/driver.rs
@@ -0,0 +1,234 @@
+//! Sending requests, closed loop or at a rate.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant};
+
+use futures_lite::AsyncReadExt;
+use redwingfold_http::{Client, Method, Request, Url, open_stream};
+use serde_json::{Value, json};
+use smol::Timer;
+
+const TIMEOUT: Duration = Duration::from_secs(60);
+const MAX_BODY: usize = 64 * 1024 * 1024;
+
+/// What requests look like.
+#[derive(Clone, Debug)]
+pub struct Shape {
+    /// Name in `model`.
+    pub model: String,
+    /// Customer's key; none is sent to an engine.
+    pub key: Option<String>,
+    /// Characters of the prompt.
+    pub prompt_chars: usize,
+    /// Different beginnings of prompts; requests share them in turn.
+    pub prefixes: usize,
+    /// Tokens of an answer.
+    pub tokens: u64,
+    /// Whether answers are streamed.
+    pub stream: bool,
+    /// More headers.
+    pub headers: Vec<(String, String)>,
+}
+
+impl Shape {
+    /// Returns the body of the `n`th request.
+    pub fn body(&self, n: u64) -> String {
+        let prefix = format!("prefix {} ", n as usize % self.prefixes.max(1));
+        let mut prompt = prefix.repeat(self.prompt_chars / prefix.len() + 1);
+        prompt.truncate(self.prompt_chars);
+        let message = json!({"role": "user", "content": format!("{prompt} request {n}")});
+        let mut body =
+            json!({"model": self.model, "messages": [message], "max_tokens": self.tokens});
+        if self.stream {
+            body["stream"] = Value::from(true);
+        }
+        body.to_string()
+    }
+}
+
+/// How requests are paced.
+#[derive(Clone, Copy, Debug)]
+pub enum Pace {
+    /// So many callers, each sending its next request when the last has ended.
+    Callers(usize),
+    /// So many requests a second at random times, whatever becomes of them.
+    Rate(f64),
+}
+
+/// A load on one address.
+#[derive(Clone, Debug)]
+pub struct Load {
+    /// Where to.
+    pub addr: SocketAddr,
+    /// What.
+    pub shape: Shape,
+    /// How fast.
+    pub pace: Pace,
+    /// How long.
+    pub duration: Duration,
+    /// Seed of the times.
+    pub seed: u64,
+}
+
+/// What became of one request.
+#[derive(Clone, Debug)]
+pub struct Sample {
+    /// When it was sent, since the start of the load.
+    pub at: Duration,
+    /// HTTP status; 0 if no answer came.
+    pub status: u16,
+    /// Time to the first byte of the body.
+    pub first: Duration,
+    /// Time to the end.
+    pub whole: Duration,
+    /// Tokens of the answer.
+    pub tokens: u64,
+    /// Whether the answer came whole.
+    pub is_whole: bool,
+    /// Version that answered.
+    pub version: String,
+    /// Longest pause between two reads of a streamed answer.
+    pub longest_gap: Duration,
+}
+
+/// Sends one request.
+pub async fn once(client: &Client, addr: SocketAddr, shape: &Shape, n: u64) -> Sample {
+    let begun = Instant::now();
+    let mut sample = Sample {
+        at: Duration::ZERO,
+        status: 0,
+        first: Duration::ZERO,
+        whole: Duration::ZERO,
+        tokens: 0,
+        is_whole: false,
+        version: String::new(),
+        longest_gap: Duration::ZERO,
+    };
+    let exchange = exchange(client, addr, shape, n, &mut sample, begun);
+    crate::clock::within(redwingfold_core::Millis(TIMEOUT.as_millis() as u64), exchange).await;
+    sample.whole = begun.elapsed();
+    sample
+}
+
+async fn exchange(
+    client: &Client,
+    addr: SocketAddr,
+    shape: &Shape,
+    n: u64,
+    sample: &mut Sample,
+    begun: Instant,
+) -> Option<()> {
+    let url = Url::parse(&format!("http://{addr}/v1/chat/completions")).ok()?;
+    let mut req = Request::new(Method::Post, url);
+    req.insert_header("content-type", "application/json");
+    req.insert_header("x-request-id", format!("{n:032x}"));
+    if let Some(key) = &shape.key {
+        req.insert_header("authorization", format!("Bearer {key}"));
+    }
+    for (name, value) in &shape.headers {
+        req.insert_header(name.as_str(), value.as_str());
+    }
+    req.set_body(shape.body(n));
+    if !shape.stream {
+        let answer = client.send(addr, req, TIMEOUT, MAX_BODY).await.ok()?;
+        sample.first = begun.elapsed();
+        sample.status = answer.status;
+        let value: Value = answer.json().ok()?;
+        sample.tokens = value["usage"]["completion_tokens"].as_u64().unwrap_or(0);
+        sample.version = value["model"].as_str().unwrap_or_default().to_owned();
+        sample.is_whole = answer.status == 200;
+        return Some(());
+    }
+    let mut res = open_stream(addr, req, TIMEOUT).await.ok()?;
+    sample.status = u16::from(res.status());
+    sample.version =
+        res.header("x-model-version").map(|v| v.as_str().to_owned()).unwrap_or_default();
+    let mut reader = res.take_body().into_reader();
+    let mut buf = vec![0; 16 * 1024];
+    let mut tail = Vec::new();
+    let mut last = begun;
+    loop {
+        let n = reader.read(&mut buf).await.ok()?;
+        if n == 0 {
+            break;
+        }
+        if sample.first.is_zero() {
+            sample.first = begun.elapsed();
+        } else {
+            sample.longest_gap = sample.longest_gap.max(last.elapsed());
+        }
+        last = Instant::now();
+        let chunk = &buf[..n];
+        sample.tokens += chunk.windows(7).filter(|w| w == b"\"delta\"").count() as u64;
+        tail.extend_from_slice(chunk);
+        let over = tail.len().saturating_sub(64);
+        tail.drain(..over);
+    }
+    sample.is_whole = sample.status == 200 && tail.windows(6).any(|w| w == b"[DONE]");
+    Some(())
+}
+
+/// Drives a load and returns what became of each request.
+pub async fn drive(load: &Load) -> Vec<Sample> {
+    let load = Arc::new(load.clone());
+    let client = Client::default();
+    let begun = Instant::now();
+    let next = Arc::new(AtomicU64::new(load.seed << 32));
+    match load.pace {
+        Pace::Callers(callers) => {
+            let tasks: Vec<_> = (0..callers)
+                .map(|_| smol::spawn(caller(load.clone(), client.clone(), next.clone(), begun)))
+                .collect();
+            let mut samples = Vec::new();
+            for task in tasks {
+                samples.extend(task.await);
+            }
+            samples
+        }
+        Pace::Rate(rate) => at_rate(&load, rate, &client, begun).await,
+    }
+}
+
+async fn caller(
+    load: Arc<Load>,
+    client: Client,
+    next: Arc<AtomicU64>,
+    begun: Instant,
+) -> Vec<Sample> {
+    let mut samples = Vec::new();
+    while begun.elapsed() < load.duration {
+        let at = begun.elapsed();
+        let n = next.fetch_add(1, Ordering::Relaxed);
+        let sample = once(&client, load.addr, &load.shape, n).await;
+        if sample.status == 0 {
+            // A refused connection answers at once: without a pause the loop would spin on it.
+            Timer::after(Duration::from_millis(20)).await;
+        }
+        samples.push(Sample { at, ..sample });
+    }
+    samples
+}
+
+async fn at_rate(load: &Arc<Load>, rate: f64, client: &Client, begun: Instant) -> Vec<Sample> {
+    let mut rng = fastrand::Rng::with_seed(load.seed);
+    let mut at = Duration::ZERO;
+    let mut tasks = Vec::new();
+    let mut n = load.seed << 32;
+    while at < load.duration {
+        Timer::at(begun + at).await;
+        let (load, client) = (load.clone(), client.clone());
+        tasks.push(smol::spawn(async move {
+            let sample = once(&client, load.addr, &load.shape, n).await;
+            Sample { at, ..sample }
+        }));
+        n += 1;
+        at += Duration::from_secs_f64(-(1.0 - rng.f64()).ln() / rate);
+    }
+    let mut samples = Vec::new();
+    for task in tasks {
+        samples.push(task.await);
+    }
+    samples
+}
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,11 @@
+//! The load tool: sends requests to an entry, or to an engine for comparison, and measures.
+
+mod args;
+mod driver;
+mod proc_usage;
+mod summary;
+
+pub use args::{LoadArgs, LoadCommand, run};
+pub use driver::{Load, Pace, Sample, Shape, drive, once};
+pub use proc_usage::{ProcUsage, proc_usage};
+pub use summary::{Quantiles, Summary};
--- a/src/peer/control.rs
+++ b/src/peer/control.rs
@@ -117,7 +117,7 @@
     };
     let tell = async {
         loop {
-            daemon.store.changed().recv().await.ok();
+            daemon.store.changed().await;
             link.send(beat(daemon, events, false));
         }
     };
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -395,6 +395,6 @@
             }
             _ => {}
         }
-        changed.recv().await.ok();
+        changed.await;
     }
 }
--- a/src/side/start.rs
+++ b/src/side/start.rs
@@ -155,7 +155,7 @@
                 config.version(version).is_none_or(|spec| spec.withdrawn_at.is_some())
             });
         }
-        changed.recv().await.ok();
+        changed.await;
     }
 }
 
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -284,7 +284,7 @@
     state: Arc<Mutex<State>>,
     history: History,
 ) -> Response {
-    let request = req.header("x-request-id").map_or(String::new(), |v| v.to_string());
+    let request = req.header("x-request-id").map_or(String::new(), |v| v.as_str().to_owned());
     let Some(body) = serve::body_json(&mut req).await else {
         return serve::status(400, "not JSON");
     };
--- a/standins/src/service.rs
+++ b/standins/src/service.rs
@@ -52,7 +52,8 @@
                 }
                 let body = req.body_string().await.unwrap_or_default();
                 let path = req.url().path().to_owned();
-                let id = req.header("x-request-id").map_or(String::new(), |v| v.to_string());
+                let id =
+                    req.header("x-request-id").map_or(String::new(), |v| v.as_str().to_owned());
                 events.add("run", &path, &id, body.clone());
                 let now = *lock();
                 Timer::after(Duration::from_millis(now.delay_ms)).await;
