--- a/src/ctl/context.rs
+++ b/src/ctl/context.rs
@@ -25,7 +25,7 @@
 }
 
 /// What a daemon said, or why it said nothing.
-pub(crate) type Said = (HostRecord, Result<Value, String>);
+pub(crate) type Said = (HostRecord, Result<Reply, String>);
 
 impl Ctl {
     pub(crate) fn open(args: &Args) -> eyre::Result<Self> {
@@ -77,12 +77,18 @@
     config: &quinn::ClientConfig,
     host: &HostRecord,
     question: &Call,
-) -> Result<Value, String> {
+) -> Result<Reply, String> {
     let dialled = dial(config, host.address, DAEMON_TIMEOUT).await;
     let (_endpoint, conn) = dialled.map_err(|e| e.to_string())?;
-    match call(&conn, question, DAEMON_TIMEOUT).await.map_err(|e| e.to_string())? {
-        Reply::Json(json) if json.is_empty() => Ok(Value::Null),
-        Reply::Json(json) => serde_json::from_slice(&json).map_err(|e| e.to_string()),
-        other => Err(format!("answers {other:?}")),
+    call(&conn, question, DAEMON_TIMEOUT).await.map_err(|e| e.to_string())
+}
+
+/// Reads a reply that is JSON; an empty one is null.
+pub(crate) fn json_of(reply: &Result<Reply, String>) -> Result<Value, String> {
+    match reply {
+        Ok(Reply::Json(json)) if json.is_empty() => Ok(Value::Null),
+        Ok(Reply::Json(json)) => serde_json::from_slice(json).map_err(|e| e.to_string()),
+        Ok(other) => Err(format!("answers {other:?}")),
+        Err(why) => Err(why.clone()),
     }
 }
--- a/src/ctl/explain.rs
+++ b/src/ctl/explain.rs
@@ -4,7 +4,7 @@
 use serde_json::Value;
 
 use super::Exit;
-use super::context::Ctl;
+use super::context::{Ctl, json_of};
 use super::table::{print, print_json};
 use crate::wire::Call;
 
@@ -12,7 +12,7 @@
 pub(crate) async fn explain(ctl: &Ctl, request: RequestId) -> eyre::Result<Exit> {
     let said = ctl.ask_all(&Call::Explain(request), |host| !host.is_side()).await?;
     let silent = said.iter().filter(|(_, answer)| answer.is_err()).count();
-    let known = said.into_iter().find_map(|(host, answer)| match answer {
+    let known = said.into_iter().find_map(|(host, answer)| match json_of(&answer) {
         Ok(value) if !value.is_null() => Some((host, value)),
         _ => None,
     });
--- a/src/ctl/publish.rs
+++ b/src/ctl/publish.rs
@@ -17,12 +17,16 @@
 use super::objects::read_objects;
 use super::table::{print, print_json};
 use crate::clock::{span, wall};
-use crate::config_store::read_all;
+use crate::config_store::{Catchup, read_all};
 use crate::platform::{LogError, stream};
+use crate::wire::{Call, Reply};
 
 /// Tries to append a record and read it back.
 const TRIES: u32 = 5;
 
+/// Newest records that daemons are given directly; one that lacks more reads them from the log.
+const PUSHED_RECORDS: usize = 32;
+
 const PAUSE: Millis = Millis(500);
 
 fn changed(config: &Config, objects: &[Object]) -> Vec<Object> {
@@ -145,6 +149,7 @@
         match read_all(&ctl.store, &ctl.log).await {
             Ok(()) => {
                 if let Some(entry) = ctl.store.verdict_of(record.id()) {
+                    push(ctl).await;
                     return report(ctl, record.id(), entry.offset, &entry.verdict);
                 }
             }
@@ -156,6 +161,28 @@
     Ok(Exit::Unknown)
 }
 
+/// Gives the newest records to every daemon that can be reached.
+///
+/// The log service can go away right after it took the record, before any daemon has read it: a
+/// withdrawal would then be accepted and in force nowhere. Here it needs no more than one daemon
+/// in reach, since daemons tell each other.
+async fn push(ctl: &Ctl) {
+    let Catchup::Records(mut records) = ctl.store.after(Offset(0)) else { return };
+    records.drain(..records.len().saturating_sub(PUSHED_RECORDS));
+    let offset = ctl.store.mark().offset;
+    match ctl.ask_all(&Call::Install(records), |_| true).await {
+        Ok(said) => {
+            let has =
+                |r: &Result<Reply, String>| matches!(r, Ok(Reply::Mark(m)) if m.offset >= offset);
+            let reached = said.iter().filter(|(_, reply)| has(reply)).count();
+            if reached < said.len() {
+                eprintln!("in force on {reached} of {} daemons so far", said.len());
+            }
+        }
+        Err(e) => eprintln!("daemons not told directly: {e}"),
+    }
+}
+
 fn report(ctl: &Ctl, id: RequestId, offset: Offset, verdict: &Verdict) -> eyre::Result<Exit> {
     let (exit, text) = match verdict {
         Verdict::Accepted => (Exit::Ok, String::new()),
--- a/src/ctl/status.rs
+++ b/src/ctl/status.rs
@@ -3,7 +3,7 @@
 use serde_json::{Value, json};
 
 use super::Exit;
-use super::context::{Ctl, Said};
+use super::context::{Ctl, Said, json_of};
 use super::table::{print, print_json};
 use crate::wire::Call;
 
@@ -12,8 +12,8 @@
     let said = ctl.ask_all(&Call::Status, |_| true).await?;
     let silent = said.iter().any(|(_, answer)| answer.is_err());
     if ctl.json {
-        let daemons = said.iter().map(|(host, answer)| match answer {
-            Ok(state) => state.clone(),
+        let daemons = said.iter().map(|(host, answer)| match json_of(answer) {
+            Ok(state) => state,
             Err(why) => json!({"host": host.host, "role": host.role, "error": why}),
         });
         print_json(&daemons.collect::<Vec<_>>())?;
@@ -27,7 +27,7 @@
 
 fn row((host, answer): &Said) -> Vec<String> {
     let mut row = vec![host.host.to_string(), host.role.clone(), host.failure_domain.to_string()];
-    match answer {
+    match json_of(answer) {
         Err(why) => row.extend(["".into(), "".into(), format!("silent: {why}")]),
         Ok(state) => row.extend([
             state["offset"].to_string(),
@@ -35,7 +35,7 @@
             if state["leaving"] == json!(true) { "leaving" } else { "serving" }.to_owned(),
             state["running"].to_string(),
             state["unconfirmed_bills"].to_string(),
-            loaded(state),
+            loaded(&state),
         ]),
     }
     row
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -260,8 +260,7 @@
             return Ok(Begun::Stream { head, answering: Box::new(answering) });
         }
         let (body, end) = answering.whole(crate::wire::MAX_FRAME).await?;
-        self.hold_bill(&end, answering.link());
-        Ok(Begun::Whole { head, body, end })
+        Ok(Begun::Whole { head, body, end, link: link.clone() })
     }
 
     fn hold_bill(&self, end: &RunEnd, link: &SideLink) {
@@ -338,7 +337,9 @@
                 smol::spawn(self.clone().pump(version.clone(), *answering, tx, under_way)).detach();
                 (head, body)
             }
-            Begun::Whole { head, body, .. } => {
+            Begun::Whole { head, body, end, link } => {
+                // Not before: an answer that is judged and not given leaves its bill to the next.
+                self.hold_bill(&end, &link);
                 if head.status == u16::from(StatusCode::Ok) && is_sampled(&self.entry) {
                     let text = String::from_utf8_lossy(&body).into_owned();
                     self.clone().judge_later(version.clone(), text);
@@ -417,7 +418,7 @@
 /// An answer that has begun.
 enum Begun {
     Stream { head: RunHead, answering: Box<Answering> },
-    Whole { head: RunHead, body: Vec<u8>, end: Box<RunEnd> },
+    Whole { head: RunHead, body: Vec<u8>, end: Box<RunEnd>, link: Arc<SideLink> },
 }
 
 /// Holds a bill until the log has it. Its side holds the other copy.
--- a/src/entry/sessions.rs
+++ b/src/entry/sessions.rs
@@ -1,9 +1,11 @@
 //! Sessions keep their version, through whatever entry they come.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use redwingfold_core::{Config, ErrorKind, Member, Pin, PinKey, SessionId, VersionName};
+use redwingfold_core::{
+    Config, ErrorKind, HostId, Incarnation, Pin, PinKey, SessionId, VersionName,
+};
 
 use super::answer::Failed;
 use super::auth::Caller;
@@ -13,18 +15,22 @@
 use crate::peer::call;
 use crate::wire::{Call, Reply};
 
-/// Pins that this entry has seen. They never change but by a withdrawal, which the entry knows of;
-/// they count only for the keepers under which they were seen, so that new keepers get their copy.
+/// Pins that a holder is given at once.
+const SWEEP_BATCH: usize = 500;
+
+/// Which holders were given a pin, and which start of each.
+///
+/// A holder that was replaced under the same name has lost its pins. Were that not seen, sessions
+/// would lose their copies one by one as hosts are replaced, until none is left and the session
+/// gets another version.
+type Stamp = Vec<(HostId, Option<Incarnation>)>;
+
+/// Pins that this entry has seen. They never change but by a withdrawal, which the entry knows of.
+/// One counts only while its holders are those that have it.
 #[derive(Debug)]
 pub(crate) struct SessionCache {
     max: usize,
-    pins: Mutex<Cached>,
-}
-
-#[derive(Debug, Default)]
-struct Cached {
-    keepers: Arc<Vec<Member>>,
-    pins: HashMap<PinKey, Pin>,
+    pins: Mutex<HashMap<PinKey, (Pin, Stamp)>>,
 }
 
 impl SessionCache {
@@ -32,24 +38,72 @@
         Self { max, pins: Mutex::default() }
     }
 
-    fn lock(&self, keepers: &Arc<Vec<Member>>) -> MutexGuard<'_, Cached> {
-        let mut cached = self.pins.lock().unwrap_or_else(PoisonError::into_inner);
-        if cached.keepers != *keepers {
-            *cached = Cached { keepers: keepers.clone(), pins: HashMap::new() };
+    fn lock(&self) -> MutexGuard<'_, HashMap<PinKey, (Pin, Stamp)>> {
+        self.pins.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn get(&self, key: &PinKey, stamp: &Stamp) -> Option<Pin> {
+        let pins = self.lock();
+        let (pin, held) = pins.get(key)?;
+        (held == stamp).then(|| pin.clone())
+    }
+
+    fn put(&self, key: &PinKey, pin: &Pin, stamp: Stamp) {
+        let mut pins = self.lock();
+        if pins.len() >= self.max {
+            pins.clear();
         }
-        cached
+        pins.insert(key.clone(), (pin.clone(), stamp));
     }
 
-    fn get(&self, keepers: &Arc<Vec<Member>>, key: &PinKey) -> Option<Pin> {
-        self.lock(keepers).pins.get(key).cloned()
+    fn all(&self) -> Vec<(PinKey, Pin, Stamp)> {
+        self.lock()
+            .iter()
+            .map(|(key, (pin, stamp))| (key.clone(), pin.clone(), stamp.clone()))
+            .collect()
     }
+}
 
-    fn put(&self, keepers: &Arc<Vec<Member>>, key: &PinKey, pin: &Pin) {
-        let mut cached = self.lock(keepers);
-        if cached.pins.len() >= self.max {
-            cached.pins.clear();
+fn stamp_of(entry: &Entry, key: &PinKey) -> Stamp {
+    let copies = entry.settings.sessions.copies;
+    entry
+        .sides
+        .holders(key, copies)
+        .into_iter()
+        .map(|(h, link)| (h, link.map(|l| l.incarnation)))
+        .collect()
+}
+
+/// Gives the pins that this entry knows to the holders that lack them: hosts come and go more often
+/// than some sessions send requests.
+pub(crate) async fn sweep(entry: Arc<Entry>) {
+    let mut batches = BTreeMap::<HostId, Vec<(PinKey, Pin)>>::new();
+    let mut given = Vec::new();
+    for (key, pin, held) in entry.sessions.all() {
+        let stamp = stamp_of(&entry, &key);
+        if stamp == held {
+            continue;
         }
-        cached.pins.insert(key.clone(), pin.clone());
+        for (host, _) in stamp.iter().filter(|holder| !held.contains(holder)) {
+            batches.entry(host.clone()).or_default().push((key.clone(), pin.clone()));
+        }
+        given.push((key, pin, stamp));
+    }
+    let mut is_complete = true;
+    for (host, pins) in batches {
+        let Some(link) = entry.sides.get(&host) else { continue };
+        for batch in pins.chunks(SWEEP_BATCH) {
+            let question = Call::PinMergeAll(batch.to_vec());
+            let timeout = entry.settings.sessions.timeout_ms;
+            is_complete &= call(&link.conn, &question, timeout).await == Ok(Reply::Held);
+        }
+    }
+    if is_complete {
+        let count = given.len();
+        for (key, pin, stamp) in given {
+            entry.sessions.put(&key, &pin, stamp);
+        }
+        entry.daemon.telemetry.count("session.swept", count as i64);
     }
 }
 
@@ -75,8 +129,8 @@
         session: session.clone(),
         name: name.to_owned(),
     };
-    let keepers = entry.sides.keepers();
-    let cached = entry.sessions.get(&keepers, &key);
+    let stamp = stamp_of(entry, &key);
+    let cached = entry.sessions.get(&key, &stamp);
     let (held, copies) = match cached {
         Some(pin) => (Some(pin), Vec::new()),
         None => find(entry, &key).await?,
@@ -104,7 +158,7 @@
     };
     // Another entry may have been faster with another version; it counts, if it may run.
     may_run(&pin.version).map_err(|kind| Failed::new(kind, "the session's version"))?;
-    entry.sessions.put(&keepers, &key, &pin);
+    entry.sessions.put(&key, &pin, stamp);
     Ok(Kept { version: pin.version, moved_from })
 }
 
@@ -123,7 +177,7 @@
     let holders = entry.sides.holders(key, entry.settings.sessions.copies);
     let asked: Vec<_> = holders
         .into_iter()
-        .map(|link| {
+        .map(|(_, link)| {
             let (entry, key) = (entry.clone(), key.clone());
             let task = link.clone().map(|link| {
                 smol::spawn(async move { ask(&entry, &link, Call::PinGet(key)).await })
@@ -154,7 +208,7 @@
 /// Sets a pin: the first holder that answers decides, the others take over what it says.
 async fn set(entry: &Arc<Entry>, key: &PinKey, proposed: Pin) -> Result<Pin, Failed> {
     let holders = entry.sides.holders(key, entry.settings.sessions.copies);
-    let mut links = holders.into_iter().flatten();
+    let mut links = holders.into_iter().filter_map(|(_, link)| link);
     let mut decided = None;
     for link in links.by_ref() {
         let question = Call::PinSet(key.clone(), proposed.clone());
--- a/src/entry/sides.rs
+++ b/src/entry/sides.rs
@@ -10,6 +10,7 @@
 use smol::Timer;
 
 use super::context::Entry;
+use super::sessions::sweep;
 use crate::billing::Held;
 use crate::clock::{jittered, span};
 use crate::daemon::Daemon;
@@ -115,15 +116,15 @@
         }
     }
 
-    /// Returns the sides that hold sessions, the same for all entries that know the same hosts.
-    pub(crate) fn keepers(&self) -> Arc<Vec<Member>> {
-        self.keepers.lock().unwrap_or_else(PoisonError::into_inner).clone()
-    }
-
     /// Returns the holders of a session's pin, the first to be asked first.
-    pub(crate) fn holders(&self, key: &PinKey, copies: usize) -> Vec<Option<Arc<SideLink>>> {
-        let keepers = self.keepers();
-        pin_holders(key, &keepers, copies).into_iter().map(|m| self.get(&m.host)).collect()
+    pub(crate) fn holders(
+        &self,
+        key: &PinKey,
+        copies: usize,
+    ) -> Vec<(HostId, Option<Arc<SideLink>>)> {
+        let keepers = self.keepers.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let holders = pin_holders(key, &keepers, copies).into_iter();
+        holders.map(|m| (m.host.clone(), self.get(&m.host))).collect()
     }
 }
 
@@ -183,7 +184,7 @@
     }
 }
 
-fn wanted_sides(entry: &Entry, hosts: &[HostRecord]) -> BTreeSet<HostId> {
+fn wanted_sides(entry: &Arc<Entry>, hosts: &[HostRecord]) -> BTreeSet<HostId> {
     let peers = &entry.settings.peers;
     let live = hosts.iter().filter(|h| h.is_side() && h.state == HostState::Live);
     let members: Vec<_> = live.map(HostRecord::member).collect();
@@ -191,7 +192,11 @@
         rank(KEEPER_SEED, &members).into_iter().take(peers.keepers).cloned().collect();
     let own = subset(&entry.daemon.host, &members, peers.max_sides);
     let wanted = own.into_iter().chain(&keepers).map(|m| m.host.clone()).collect();
-    *entry.sides.keepers.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(keepers);
+    let mut held = entry.sides.keepers.lock().unwrap_or_else(PoisonError::into_inner);
+    if **held != keepers {
+        *held = Arc::new(keepers);
+        smol::spawn(sweep(entry.clone())).detach();
+    }
     wanted
 }
 
@@ -254,6 +259,7 @@
         .daemon
         .telemetry
         .info("side_connected", &[("host", &link.host), ("incarnation", &link.incarnation)]);
+    smol::spawn(sweep(entry.clone())).detach();
     let events = LinkEvents {
         on_beat: &|leaving, loads| {
             if leaving && !link.leaving.swap(true, Ordering::Relaxed) {
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -125,6 +125,10 @@
             Some(trace) => Reply::Json(trace.json()),
             None => Reply::Json(Vec::new()),
         },
+        Call::Install(records) => {
+            entry.daemon.store.apply(&records);
+            Reply::Mark(entry.daemon.store.mark())
+        }
         Call::Status => Reply::Json(status(&entry)),
         _ => Reply::Refused(ErrorKind::BadPeer),
     };
--- a/src/side/requests.rs
+++ b/src/side/requests.rs
@@ -16,9 +16,20 @@
             hold(side, bills);
             Reply::Held
         }
+        Call::Install(records) => {
+            side.daemon.store.apply(&records);
+            Reply::Mark(side.daemon.store.mark())
+        }
         Call::Outcome(claim) => Reply::Outcome(outcome(side, &claim)),
         Call::PinGet(key) => Reply::Pin(side.pins().get(&key, now)),
         Call::PinMerge(key, pin) => Reply::Pin(Some(side.pins().merge(&key, pin, now))),
+        Call::PinMergeAll(pins) => {
+            let mut table = side.pins();
+            for (key, pin) in pins {
+                table.merge(&key, pin, now);
+            }
+            Reply::Held
+        }
         Call::PinSet(key, pin) => Reply::Pin(Some(side.pins().get_or_set(&key, pin, now))),
         Call::Status => Reply::Json(status(side)),
         Call::Control(_) | Call::Explain(_) | Call::Run(_) => Reply::Refused(ErrorKind::BadPeer),
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -92,6 +92,8 @@
     Hold(Vec<Bill>),
     /// The stream becomes the connection's control stream.
     Control(Hello),
+    /// Records of the configuration, from the operator's tool. Answered with the process's mark.
+    Install(Vec<(Offset, Vec<u8>)>),
     /// What became of a claim.
     Outcome(Claim),
     /// The pin of a session, if one is held.
@@ -100,6 +102,8 @@
     PinSet(PinKey, Pin),
     /// Takes a pin that another holder has.
     PinMerge(PinKey, Pin),
+    /// Takes many.
+    PinMergeAll(Vec<(PinKey, Pin)>),
     Run(Box<RunCall>),
     /// The process's state, as JSON.
     Status,
@@ -201,6 +205,7 @@
     Closed(Closed),
     Held,
     Json(Vec<u8>),
+    Mark(ConfigMark),
     Outcome(Outcome),
     Pin(Option<Pin>),
     /// The call is not for this process.
--- a/standins/src/fleet/launch.rs
+++ b/standins/src/fleet/launch.rs
@@ -18,6 +18,8 @@
 use crate::log_service::LogService;
 use crate::rating::Rating;
 use crate::service::Service;
+use crate::tcp_proxy::TcpProxy;
+use crate::udp_proxy::UdpProxy;
 
 /// Longest wait for anything that must come about.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -63,6 +65,8 @@
     pub services: BTreeMap<String, Service>,
     daemons: BTreeMap<String, Daemon>,
     entries: Vec<String>,
+    log_ways: BTreeMap<String, TcpProxy>,
+    peer_ways: BTreeMap<String, UdpProxy>,
     bin_dir: PathBuf,
     dir: PathBuf,
     overlay: Value,
@@ -143,6 +147,8 @@
             services: BTreeMap::new(),
             daemons: BTreeMap::new(),
             entries: (0..self.entries).map(|i| format!("entry-{i}")).collect(),
+            log_ways: BTreeMap::new(),
+            peer_ways: BTreeMap::new(),
             bin_dir: self.bin_dir,
             dir,
             overlay: self.overlay,
@@ -151,6 +157,10 @@
         names.extend(self.sides.iter().map(|(host, ..)| host.clone()));
         names.push("ctl".to_owned());
         fleet.make_keys(&names);
+        for name in &names {
+            let way = TcpProxy::start(fleet.log.addr).expect("way to the log");
+            fleet.log_ways.insert(name.clone(), way);
+        }
         fleet.write_ctl_settings();
         for (host, domain, backend) in self.sides {
             match backend {
@@ -213,7 +223,7 @@
             "host": host,
             "failure_domain": domain,
             "peer_listen": "127.0.0.1:0",
-            "log": {"address": self.log.addr},
+            "log": {"address": self.log_ways[host].addr},
             "host_list": {"address": self.hosts.addr, "every_ms": 200},
             "tls": self.tls(host),
             "batch": {"every_ms": 200},
@@ -292,7 +302,7 @@
             let domain = std::fs::read_to_string(self.dir.join(format!("{host}.domain")));
             HostEntry {
                 host: host.clone(),
-                address: daemon.peer,
+                address: self.peer_ways.get(host).map_or(daemon.peer, |way| way.addr),
                 failure_domain: domain.expect("domain"),
                 role: if daemon.listen.is_some() { "entry" } else { "side" }.to_owned(),
                 state: "live".to_owned(),
@@ -301,6 +311,23 @@
         self.hosts.set(hosts.collect(), lag);
     }
 
+    /// Cuts a daemon off from the log service, or connects it again.
+    pub fn cut_log(&self, host: &str, cut: bool) {
+        self.log_ways[host].set_cut(cut);
+    }
+
+    /// Puts something before a daemon that can lose track of its connections, and lists it there.
+    pub fn put_proxy(&mut self, host: &str) {
+        let way = UdpProxy::start(self.daemons[host].peer).expect("proxy");
+        self.peer_ways.insert(host.to_owned(), way);
+        self.list_hosts(Duration::ZERO);
+    }
+
+    /// Returns what [`Self::put_proxy`] put before a daemon.
+    pub fn proxy(&self, host: &str) -> &UdpProxy {
+        &self.peer_ways[host]
+    }
+
     /// Returns a daemon's process.
     pub fn process(&self, host: &str) -> &Process {
         &self.daemons[host].process
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -11,6 +11,8 @@
 mod rating;
 mod serve;
 mod service;
+mod tcp_proxy;
+mod udp_proxy;
 mod weight_store;
 
 pub use engine::{Engine, EngineFaults, EngineSettings, answer_text};
@@ -19,4 +21,6 @@
 pub use log_service::{LogFaults, LogService};
 pub use rating::Rating;
 pub use service::Service;
+pub use tcp_proxy::TcpProxy;
+pub use udp_proxy::UdpProxy;
 pub use weight_store::WeightStore;
--- /dev/null
+++ b/tests/common/checks.rs
@@ -0,0 +1,100 @@
+//! Checkers of histories: each returns what it finds wrong.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use redwingfold_core::BillFold;
+use redwingfold_standins::{Event, answer_text};
+use serde_json::Value;
+
+use super::traffic::Call;
+
+/// Finds runs of a version that began after a time.
+pub fn runs_after(events: &[Event], version: &str, at_us: u64) -> Vec<String> {
+    let late = events.iter().filter(|e| e.what == "run" && e.of == version && e.at_us > at_us);
+    late.map(|e| format!("{version} ran {} after it must not", e.request)).collect()
+}
+
+/// Finds sessions whose answers came from more than one version.
+pub fn moved_sessions(calls: &[Call]) -> Vec<String> {
+    let mut seen = BTreeMap::<&str, BTreeSet<&str>>::new();
+    for call in calls.iter().filter(|c| c.answered.status == 200) {
+        if let (Some(session), Some(version)) =
+            (call.asked("x-session-id"), call.answered.header("x-model-version"))
+        {
+            seen.entry(session).or_default().insert(version);
+        }
+    }
+    let moved = seen.into_iter().filter(|(_, versions)| versions.len() > 1);
+    moved.map(|(session, versions)| format!("session {session} had {versions:?}")).collect()
+}
+
+/// Finds answers with a 200 that are not whole, or that belong to another request.
+pub fn wrong_answers(calls: &[Call]) -> Vec<String> {
+    let mut found = Vec::new();
+    for call in calls.iter().filter(|c| c.answered.status == 200) {
+        let answered = &call.answered;
+        let asked: Value = serde_json::from_slice(&call.ask.body).unwrap_or_default();
+        let is_stream = asked["stream"] == true;
+        let prompt = asked["messages"][0]["content"].as_str().unwrap_or_default();
+        let tokens = asked["max_tokens"].as_u64().unwrap_or(8);
+        let request = answered.header("x-request-id").unwrap_or_default();
+        let version = answered.header("x-model-version").unwrap_or_default();
+        let expected = answer_text(version, request, prompt, tokens);
+        let content = answered.content();
+        let ended = if is_stream { answered.is_whole_stream() } else { answered.whole };
+        match ended {
+            true if content != expected => {
+                found.push(format!("request {request}: {content:?}, not {expected:?}"));
+            }
+            // A cut stream may be given, openly cut: then what came is a beginning of the answer.
+            false if is_stream && !answered.whole && expected.starts_with(&content) => {}
+            false => found.push(format!("request {request}: ended without being whole")),
+            true => {}
+        }
+    }
+    found
+}
+
+/// Finds refusals that say "not run" of requests that an engine or service has run.
+pub fn false_not_run(calls: &[Call], events: &[Event]) -> Vec<String> {
+    let ran: BTreeSet<_> =
+        events.iter().filter(|e| e.what == "run").map(|e| e.request.as_str()).collect();
+    let refused = calls.iter().filter(|c| c.answered.error_code().1 == "not_run");
+    let ids = refused.filter_map(|c| c.answered.header("x-request-id"));
+    ids.filter(|id| ran.contains(id)).map(|id| format!("{id} ran, and was said not to")).collect()
+}
+
+/// Finds keys for which a service ran more than once. Bodies hold the keys.
+pub fn repeated_runs(events: &[Event]) -> Vec<String> {
+    let mut runs = BTreeMap::<&str, usize>::new();
+    for event in events.iter().filter(|e| e.what == "run") {
+        *runs.entry(&event.detail).or_default() += 1;
+    }
+    let repeated = runs.into_iter().filter(|(_, n)| *n > 1);
+    repeated.map(|(key, n)| format!("{key} ran {n} times")).collect()
+}
+
+/// Finds whole answers that are not billed, and bills that are not of an answer or counted twice.
+pub fn wrong_bills(calls: &[Call], records: &[(u64, String)]) -> Vec<String> {
+    let mut fold = BillFold::default();
+    records.iter().for_each(|(_, raw)| fold.apply(raw.as_bytes()));
+    let mut found = Vec::new();
+    let mut wanted = BTreeMap::<String, usize>::new();
+    for call in calls.iter().filter(|c| c.answered.status == 200) {
+        let id = call.answered.header("x-request-id").unwrap_or_default();
+        let key = call.asked("idempotency-key").unwrap_or(id);
+        *wanted.entry(key.to_owned()).or_default() += 1;
+    }
+    let answered: BTreeSet<_> =
+        calls.iter().filter_map(|c| c.answered.header("x-request-id")).collect();
+    let billed = fold.bills().count();
+    let unknown = fold.bills().filter(|b| !answered.contains(b.request.to_string().as_str()));
+    let lost_calls = calls.iter().filter(|c| c.answered.status == 0).count();
+    if unknown.count() > lost_calls {
+        found.push("bills of requests that nobody made".to_owned());
+    }
+    if billed < wanted.len() {
+        found.push(format!("{} answers, but {billed} bills", wanted.len()));
+    }
+    found
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,9 @@
 
 #![allow(dead_code, reason = "each test file uses its part")]
 
+pub mod checks;
+pub mod traffic;
+
 use std::path::Path;
 
 use redwingfold_standins::EngineSettings;
--- /dev/null
+++ b/tests/common/traffic.rs
@@ -0,0 +1,93 @@
+//! Callers in the background, and what they saw.
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
+
+use redwingfold_standins::fleet::{Answered, Ask, Caller, wait_until};
+
+/// One call as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Call {
+    /// What was asked.
+    pub ask: Ask,
+    /// When it was sent, in microseconds since 1970.
+    pub sent_us: u64,
+    /// What came back.
+    pub answered: Answered,
+}
+
+impl Call {
+    /// Sends a request and notes what came back.
+    pub fn send(caller: &Caller, ask: Ask) -> Self {
+        let sent_us = now_us();
+        let answered = caller.send_blocking(&ask);
+        Self { ask, sent_us, answered }
+    }
+
+    /// Returns a header of the request.
+    pub fn asked(&self, name: &str) -> Option<&str> {
+        self.ask.headers.iter().find(|(key, _)| key == name).map(|(_, value)| value.as_str())
+    }
+}
+
+/// Returns microseconds since 1970.
+pub fn now_us() -> u64 {
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    now.map_or(0, |d| d.as_micros() as u64)
+}
+
+/// Callers that send until they are stopped.
+pub struct Traffic {
+    stop: Arc<AtomicBool>,
+    calls: Arc<Mutex<Vec<Call>>>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Traffic {
+    /// Starts `threads` callers; each asks what `ask` makes of a running number, at one of
+    /// `callers` in turn.
+    pub fn start(
+        callers: Vec<Caller>,
+        threads: usize,
+        ask: impl Fn(u64) -> Ask + Clone + Send + 'static,
+    ) -> Self {
+        let stop = Arc::new(AtomicBool::new(false));
+        let calls = Arc::new(Mutex::new(Vec::new()));
+        let next = Arc::new(AtomicU64::new(0));
+        let threads = (0..threads).map(|_| {
+            let (stop, calls, next) = (stop.clone(), calls.clone(), next.clone());
+            let (callers, ask) = (callers.clone(), ask.clone());
+            std::thread::spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let n = next.fetch_add(1, Ordering::SeqCst);
+                    let call = Call::send(&callers[n as usize % callers.len()], ask(n));
+                    if call.answered.status == 0 {
+                        // A dead entry refuses at once; the loop must not spin on it.
+                        std::thread::sleep(std::time::Duration::from_millis(5));
+                    }
+                    calls.lock().unwrap_or_else(PoisonError::into_inner).push(call);
+                }
+            })
+        });
+        let threads = threads.collect();
+        Self { stop, calls, threads }
+    }
+
+    /// Waits until so many more calls have ended.
+    pub fn wait_for(&self, more: usize) {
+        let count = || self.calls.lock().unwrap_or_else(PoisonError::into_inner).len();
+        let wanted = count() + more;
+        wait_until("calls", || count() >= wanted);
+    }
+
+    /// Stops the callers and returns what they saw.
+    pub fn stop(self) -> Vec<Call> {
+        self.stop.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            thread.join().expect("caller");
+        }
+        let calls = self.calls.lock().unwrap_or_else(PoisonError::into_inner);
+        calls.clone()
+    }
+}
--- /dev/null
+++ b/tests/promise_allowed.rs
@@ -0,0 +1,121 @@
+//! A request runs only on a model and version that its customer allows.
+
+mod common;
+
+use common::checks::{false_not_run, wrong_answers};
+use common::traffic::{Call, Traffic, now_us};
+use common::{builder, engine, objects};
+use redwingfold_standins::fleet::{Ask, Fleet, Objects, wait_until};
+
+fn fleet() -> Fleet {
+    builder()
+        .entries(2)
+        .engine("gpu-1", engine(&["slip-1", "slip-2"]))
+        .engine("gpu-2", engine(&["slip-1", "slip-2"]))
+        .start(&objects())
+}
+
+/// Takes the grant from `haus`; returns the offset of the change.
+fn take_grant(fleet: &Fleet) -> u64 {
+    fleet.publish(&Objects::default().grant("all", "org=ani", "model=slip"));
+    fleet.log.records("config").last().map_or(0, |(offset, _)| *offset)
+}
+
+fn wait_for_offset(fleet: &Fleet, hosts: &[&str], offset: u64) {
+    let text = format!("config_in_force offset={offset}");
+    wait_until("they know", || hosts.iter().all(|h| fleet.process(h).count(&text) > 0));
+}
+
+/// Returns the runs for `haus` that began after a time.
+fn runs_of_haus(fleet: &Fleet, calls: &[Call], after_us: u64) -> Vec<String> {
+    let of_haus: Vec<_> = calls
+        .iter()
+        .filter(|c| c.asked("authorization").is_some_and(|v| v.ends_with("haus")))
+        .filter_map(|c| c.answered.header("x-request-id"))
+        .collect();
+    let events = fleet.engines.values().flat_map(|e| e.history.events());
+    events
+        .filter(|e| e.what == "run" && e.at_us > after_us && of_haus.contains(&e.request.as_str()))
+        .map(|e| e.request)
+        .collect()
+}
+
+fn traffic(fleet: &Fleet) -> Traffic {
+    Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 6, |n| {
+        let customer = if n.is_multiple_of(3) { "ani" } else { "haus" };
+        Ask::chat(customer, "slip", &format!("slip {n}"))
+    })
+}
+
+fn check(fleet: &Fleet, calls: &[Call], known: u64) {
+    assert_eq!(runs_of_haus(fleet, calls, known), Vec::<String>::new());
+    let events: Vec<_> = fleet.engines.values().flat_map(|e| e.history.events()).collect();
+    assert_eq!(false_not_run(calls, &events), Vec::<String>::new());
+    assert_eq!(wrong_answers(calls), Vec::<String>::new());
+    let denied = |c: &&Call| c.answered.error_code().0 == "not_allowed";
+    assert!(calls.iter().any(|c| denied(&c)), "nobody was refused");
+    let of_ani =
+        calls.iter().filter(|c| c.asked("authorization").is_some_and(|v| v.ends_with("ani")));
+    assert!(of_ani.clone().all(|c| c.answered.status == 200), "ani was refused");
+}
+
+/// Callers of `haus` are refused after their grant was taken, also by an entry that slept through
+/// the change and wakes with requests in hand: the sides know better and refuse what it sends.
+#[test]
+fn stale_entry() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(50);
+    fleet.process("entry-1").freeze();
+    let offset = take_grant(&fleet);
+    wait_for_offset(&fleet, &["entry-0", "gpu-1", "gpu-2"], offset);
+    let known = now_us();
+    fleet.process("entry-1").thaw();
+    traffic.wait_for(50);
+    check(&fleet, &traffic.stop(), known);
+}
+
+/// The same when the sides slept through the change: an entry that knows it refuses by itself, and
+/// a side that hears of a newer configuration waits for it before it decides.
+#[test]
+fn stale_sides() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(50);
+    fleet.process("gpu-1").freeze();
+    fleet.process("gpu-2").freeze();
+    let offset = take_grant(&fleet);
+    wait_for_offset(&fleet, &["entry-0", "entry-1"], offset);
+    let known = now_us();
+    // What was sent before the change may still run; it was allowed when it was decided. Those
+    // requests are told apart by when they were sent.
+    fleet.process("gpu-1").thaw();
+    fleet.process("gpu-2").thaw();
+    traffic.wait_for(50);
+    let calls = traffic.stop();
+    let later: Vec<_> = calls.into_iter().filter(|c| c.sent_us > known).collect();
+    check(&fleet, &later, known);
+}
+
+/// The same when one entry and both sides slept through the change and wake together: they learn
+/// of it from the log and from each other.
+#[test]
+fn stale_entry_and_sides_together() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(50);
+    for host in ["entry-1", "gpu-1", "gpu-2"] {
+        fleet.process(host).freeze();
+    }
+    let offset = take_grant(&fleet);
+    wait_for_offset(&fleet, &["entry-0"], offset);
+    for host in ["gpu-1", "gpu-2", "entry-1"] {
+        fleet.process(host).thaw();
+    }
+    wait_for_offset(&fleet, &["entry-1", "gpu-1", "gpu-2"], offset);
+    let known = now_us();
+    traffic.wait_for(50);
+    let calls = traffic.stop();
+    let later: Vec<_> = calls.into_iter().filter(|c| c.sent_us > known).collect();
+    check(&fleet, &later, known);
+}
--- /dev/null
+++ b/tests/promise_leaving.rs
@@ -0,0 +1,70 @@
+//! A backend server that is leaving receives no new work after a few seconds.
+
+mod common;
+
+use std::time::Duration;
+
+use common::checks::runs_after;
+use common::traffic::{Traffic, now_us};
+use common::{builder, engine, objects};
+use redwingfold_standins::fleet::{Ask, Fleet, wait_until};
+
+fn fleet() -> Fleet {
+    builder()
+        .entries(2)
+        .engine("gpu-1", engine(&["slip-1"]))
+        .engine("gpu-2", engine(&["slip-1"]))
+        .start(&objects())
+}
+
+fn traffic(fleet: &Fleet) -> Traffic {
+    Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 6, |n| {
+        Ask::chat("ani", "slip", &format!("slip {n}"))
+    })
+}
+
+/// Callers see nothing of a host that the platform says is leaving: its side works on, but both
+/// entries stop sending it work once they have read the list.
+#[test]
+fn host_list_says_so() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(50);
+    fleet.hosts.update(Duration::from_millis(300), |hosts| {
+        hosts
+            .iter_mut()
+            .filter(|h| h.host == "gpu-1")
+            .for_each(|h| "leaving".clone_into(&mut h.state));
+    });
+    wait_until("entries have read the list", || {
+        ["entry-0", "entry-1"].iter().all(|h| fleet.process(h).count("hosts_changed") > 1)
+    });
+    // What an entry had picked when it read the list is on its way still.
+    traffic.wait_for(20);
+    let known = now_us();
+    traffic.wait_for(100);
+    let calls = traffic.stop();
+    let events = fleet.engines["gpu-1"].history.events();
+    assert_eq!(runs_after(&events, "slip-1", known), Vec::<String>::new());
+    assert!(calls.iter().all(|c| c.answered.status == 200));
+}
+
+/// A side that is told to stop says so on its connections, long before the host list does, and
+/// refuses what an entry sends before it heard.
+#[test]
+fn side_says_so_itself() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(50);
+    fleet.process("gpu-1").term();
+    let left = fleet.process("gpu-1").wait_for_line("event=draining", Duration::from_secs(30));
+    left.expect("it drains");
+    let known = now_us();
+    traffic.wait_for(100);
+    let calls = traffic.stop();
+    // Runs that had been let in when the drain began may still reach the engine.
+    let events = fleet.engines["gpu-1"].history.events();
+    let late = runs_after(&events, "slip-1", known);
+    assert!(late.len() <= 6, "more than the callers had under way: {late:?}");
+    assert!(calls.iter().all(|c| c.answered.status == 200));
+}
--- /dev/null
+++ b/tests/promise_planned_stop.rs
@@ -0,0 +1,97 @@
+//! A planned stop is a graceful shutdown: it cuts no request.
+
+mod common;
+
+use std::time::Duration;
+
+use common::checks::{wrong_answers, wrong_bills};
+use common::traffic::{Call, Traffic};
+use common::{builder, engine, objects};
+use redwingfold_http::Method;
+use redwingfold_standins::EngineSettings;
+use redwingfold_standins::fleet::{Ask, Fleet, wait_until};
+use serde_json::json;
+
+const PATIENCE: Duration = Duration::from_secs(30);
+
+fn fleet() -> Fleet {
+    let slow = EngineSettings { token_ms: 5, ..engine(&["slip-1"]) };
+    builder()
+        .entries(2)
+        .engine("gpu-1", slow.clone())
+        .engine("gpu-2", slow)
+        .settings("side", "batch", json!({"every_ms": 100, "side_grace_ms": 2000}))
+        .settings("entry", "limits", json!({"drain_accept_ms": 500}))
+        .start(&objects())
+}
+
+fn mixed(n: u64) -> Ask {
+    let ask = Ask::chat("ani", "slip", &format!("slip {n}"));
+    if n.is_multiple_of(2) { ask.stream(60) } else { ask }
+}
+
+/// Says whether an answer is whole, of either sort.
+fn is_whole(call: &Call) -> bool {
+    let answered = &call.answered;
+    let is_stream = String::from_utf8_lossy(&call.ask.body).contains("\"stream\":true");
+    answered.status == 200 && if is_stream { answered.is_whole_stream() } else { answered.whole }
+}
+
+fn check_stopped(fleet: &Fleet, host: &str) {
+    let status = fleet.process(host).wait(PATIENCE);
+    assert!(status.is_some_and(|s| s.success()), "{host}: {status:?}");
+    assert_eq!(fleet.process(host).count("drain_cut"), 0);
+}
+
+/// Callers behind a side that stops see nothing of it: streams run to their end, what comes later
+/// goes to the other side.
+#[test]
+fn side_stops_under_load() {
+    let fleet = fleet();
+    let traffic = Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 12, mixed);
+    traffic.wait_for(30);
+    fleet.process("gpu-1").term();
+    check_stopped(&fleet, "gpu-1");
+    traffic.wait_for(60);
+    let calls = traffic.stop();
+    let cut: Vec<_> = calls.iter().filter(|c| !is_whole(c)).collect();
+    assert!(cut.is_empty(), "{} of {}: {:?}", cut.len(), calls.len(), cut[0].answered);
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    wait_until("all are billed", || wrong_bills(&calls, &fleet.log.records("bills")).is_empty());
+}
+
+/// Callers of an entry that stops get whole answers to all that they sent. They heed the balancer:
+/// once the entry is not ready any more they go to the other.
+#[test]
+fn entry_stops_under_load() {
+    let fleet = fleet();
+    let stopping = fleet.caller(0);
+    let ready =
+        move || stopping.send_blocking(&Ask::new(Method::Get, "/readyz", "ani")).status == 200;
+    let traffic = Traffic::start(vec![fleet.caller(0)], 12, mixed);
+    traffic.wait_for(30);
+    fleet.process("entry-0").term();
+    wait_until("readiness goes first", || !ready());
+    let calls = traffic.stop();
+    check_stopped(&fleet, "entry-0");
+    let cut: Vec<_> = calls.iter().filter(|c| !is_whole(c)).collect();
+    assert!(cut.is_empty(), "{} of {}: {:?}", cut.len(), calls.len(), cut[0].answered);
+    wait_until("all are billed", || wrong_bills(&calls, &fleet.log.records("bills")).is_empty());
+}
+
+/// Daemons that stop while the log is away hand their unconfirmed bills to another process, and
+/// none is lost: the side to an entry, then the entry to the other side.
+#[test]
+fn stops_during_an_outage_lose_no_bill() {
+    let fleet = fleet();
+    fleet.log.set(|faults| faults.outage = true);
+    let calls: Vec<_> = (0..10).map(|n| Call::send(&fleet.caller(0), mixed(n))).collect();
+    assert!(calls.iter().all(is_whole));
+    fleet.process("gpu-1").term();
+    check_stopped(&fleet, "gpu-1");
+    fleet.process("entry-0").term();
+    check_stopped(&fleet, "entry-0");
+    assert!(fleet.process("entry-0").count("bills_handed_over") > 0);
+    fleet.log.set(|faults| faults.outage = false);
+    wait_until("all are billed", || wrong_bills(&calls, &fleet.log.records("bills")).is_empty());
+}
--- /dev/null
+++ b/tests/promise_session.rs
@@ -0,0 +1,131 @@
+//! A session keeps its version.
+
+mod common;
+
+use std::collections::BTreeSet;
+
+use common::checks::{moved_sessions, wrong_answers};
+use common::traffic::{Call, Traffic};
+use common::{builder, engine, objects};
+use redwingfold_standins::fleet::{Ask, Fleet, Objects};
+
+const SESSIONS: u64 = 24;
+
+fn fleet() -> Fleet {
+    let mut builder = builder().entries(2);
+    for host in ["gpu-1", "gpu-2", "gpu-3", "gpu-4"] {
+        builder = builder.engine(host, engine(&["slip-1", "slip-2"]));
+    }
+    builder.start(&objects())
+}
+
+fn traffic(fleet: &Fleet) -> Traffic {
+    Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 4, |n| {
+        // Each session meets both entries: its number and that of the entry are not in step.
+        let session = format!("batch-{}", n / 2 % SESSIONS);
+        Ask::chat("ani", "slip", &format!("slip {n}")).session(&session)
+    })
+}
+
+fn share(fleet: &Fleet, share: u16) {
+    fleet.publish(&Objects::default().rollout("up", "slip", "slip-2", share));
+    fleet.wait_in_force();
+}
+
+fn versions(calls: &[Call]) -> BTreeSet<&str> {
+    calls.iter().filter_map(|c| c.answered.header("x-model-version")).collect()
+}
+
+/// Treasurers see one version for all of a batch, whichever entry they meet, while a roll-out goes
+/// up in steps, is left half done, goes on and goes back. New sessions follow the share.
+#[test]
+fn through_every_step_of_a_roll_out() {
+    let fleet = fleet();
+    let traffic = traffic(&fleet);
+    traffic.wait_for(100);
+    for step in [100, 500, 1000, 300, 0] {
+        share(&fleet, step);
+        traffic.wait_for(100);
+    }
+    let calls = traffic.stop();
+    assert_eq!(moved_sessions(&calls), Vec::<String>::new());
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    assert_eq!(versions(&calls), BTreeSet::from(["slip-1"]), "all began before the roll-out");
+
+    share(&fleet, 1000);
+    let fresh = Ask::chat("ani", "slip", "new").session("batch-new");
+    let answered = fleet.caller(0).send_blocking(&fresh);
+    assert_eq!(answered.header("x-model-version"), Some("slip-2"));
+    share(&fleet, 0);
+    let answered = fleet.caller(1).send_blocking(&fresh);
+    assert_eq!(answered.header("x-model-version"), Some("slip-2"));
+}
+
+/// The same when an entry is killed, and when hosts that hold sessions are replaced one after the
+/// other: each session has its version at three of them, and a new holder gets its copy from the
+/// others at the session's next request.
+#[test]
+fn through_the_loss_of_an_entry_and_of_holders() {
+    let mut fleet = fleet();
+    let ask_all = |fleet: &Fleet, entry: usize| -> Vec<Call> {
+        let caller = fleet.caller(entry);
+        let ask = |n| Ask::chat("ani", "slip", "slip").session(&format!("batch-{n}"));
+        (0..SESSIONS).map(|n| Call::send(&caller, ask(n))).collect()
+    };
+    let mut calls = ask_all(&fleet, 0);
+    share(&fleet, 1000);
+    fleet.process("entry-0").kill();
+    calls.extend(ask_all(&fleet, 1));
+    for host in ["gpu-1", "gpu-2", "gpu-3", "gpu-4"] {
+        fleet.process(host).kill();
+        fleet.restart(host);
+        fleet.wait_ready("entry-1");
+        calls.extend(ask_all(&fleet, 1));
+    }
+    fleet.restart("entry-0");
+    fleet.wait_ready("entry-0");
+    calls.extend(ask_all(&fleet, 0));
+    let failed: Vec<_> = calls.iter().filter(|c| c.answered.status != 200).collect();
+    assert!(failed.is_empty(), "{:?}", failed[0].answered);
+    assert_eq!(moved_sessions(&calls), Vec::<String>::new());
+    assert_eq!(versions(&calls), BTreeSet::from(["slip-1"]));
+}
+
+/// A treasurer whose version was withdrawn is told so with the first answer of the next one, and
+/// keeps that one, through the other entry too.
+#[test]
+fn withdrawal_is_the_one_exception() {
+    let fleet = fleet();
+    let ask = Ask::chat("ani", "slip", "slip").session("batch-1");
+    let before = fleet.caller(0).send_blocking(&ask);
+    assert_eq!(before.header("x-model-version"), Some("slip-1"));
+    fleet.publish(&Objects::default().model("slip", "slip-2"));
+    assert!(fleet.ctl(&["withdraw", "slip-1", "--reason", "bad"]).status.success());
+    fleet.wait_in_force();
+    let moved = fleet.caller(1).send_blocking(&ask);
+    assert_eq!(moved.header("x-model-version"), Some("slip-2"), "{}", moved.text());
+    assert_eq!(moved.header("x-session-moved"), Some("withdrawn slip-1"));
+    let after = fleet.caller(0).send_blocking(&ask);
+    assert_eq!(after.header("x-model-version"), Some("slip-2"));
+}
+
+/// Two entries that get a new session's first requests at once give it one version, although one
+/// of them does not know yet that the roll-out's share has moved.
+#[test]
+fn first_requests_race_through_two_entries() {
+    let fleet = fleet();
+    for n in 0..10 {
+        // The entry that slept decides by the old share, the other by the new one.
+        fleet.process("entry-1").freeze();
+        let to = if n % 2 == 0 { 1000 } else { 0 };
+        fleet.publish(&Objects::default().rollout("up", "slip", "slip-2", to));
+        let ask = Ask::chat("ani", "slip", "slip").session(&format!("race-{n}"));
+        let (first, second) = (fleet.caller(0), fleet.caller(1));
+        let other = ask.clone();
+        let waiting = std::thread::spawn(move || Call::send(&second, other));
+        fleet.process("entry-1").thaw();
+        let calls = [Call::send(&first, ask), waiting.join().expect("caller")];
+        assert!(calls.iter().all(|c| c.answered.status == 200), "{calls:?}");
+        assert_eq!(moved_sessions(&calls), Vec::<String>::new());
+    }
+}
--- /dev/null
+++ b/tests/promise_whole_answer.rs
@@ -0,0 +1,91 @@
+//! A caller receives the whole answer to its own request.
+
+mod common;
+
+use common::checks::wrong_answers;
+use common::traffic::{Call, Traffic};
+use common::{builder, engine, objects};
+use redwingfold_standins::EngineSettings;
+use redwingfold_standins::fleet::{Ask, Fleet, wait_until};
+
+fn fleet() -> Fleet {
+    let slow = EngineSettings { token_ms: 2, ..engine(&["slip-1"]) };
+    builder().entries(2).engine("gpu-1", slow.clone()).engine("gpu-2", slow).start(&objects())
+}
+
+fn mixed(n: u64) -> Ask {
+    let ask = Ask::chat("ani", "slip", &format!("slip {n}"));
+    if n.is_multiple_of(2) { ask.stream(5 + n % 20) } else { ask }
+}
+
+/// Every caller gets the answer to its own prompt, whole, while hundreds cross each other and the
+/// engines' speed goes up and down.
+#[test]
+fn crossing_answers() {
+    let fleet = fleet();
+    let traffic = Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 16, mixed);
+    for slow in [0, 400, 50, 800, 0] {
+        fleet.engines["gpu-1"].set(|faults| faults.slow_percent = slow);
+        traffic.wait_for(60);
+    }
+    let calls = traffic.stop();
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    assert!(calls.iter().all(|c| c.answered.status == 200));
+}
+
+/// A caller whose engine dies in the middle of a stream sees the stream cut, with an error event and
+/// without an end mark; never the rest of another attempt. Whole answers are had from the other
+/// engine, so their callers see nothing of it.
+#[test]
+fn engine_dies_in_mid_stream() {
+    let fleet = fleet();
+    fleet.engines["gpu-1"].set(|faults| faults.die_after = Some(3));
+    let traffic = Traffic::start(vec![fleet.caller(0)], 8, mixed);
+    traffic.wait_for(120);
+    let calls = traffic.stop();
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    let streamed = |c: &&Call| String::from_utf8_lossy(&c.ask.body).contains("\"stream\":true");
+    let cut = calls.iter().filter(|c| streamed(c) && !c.answered.is_whole_stream());
+    let cut: Vec<_> = cut.collect();
+    assert!(!cut.is_empty(), "no stream met the dying engine");
+    for call in cut {
+        assert!(call.answered.text().contains("backend_lost"), "{}", call.answered.text());
+    }
+    assert!(calls.iter().filter(|c| !streamed(c)).all(|c| c.answered.status == 200));
+}
+
+/// A caller that goes away in mid-stream has its run cancelled at the engine, and those who come
+/// after it get their own answers.
+#[test]
+fn cancelled_callers_leave_nothing_behind() {
+    let fleet = fleet();
+    let runs =
+        |what: &str| -> usize { fleet.engines.values().map(|e| e.history.of(what).len()).sum() };
+    for n in 0..10 {
+        let caller = fleet.caller(0);
+        let ask = Ask::chat("ani", "slip", &format!("gone {n}")).stream(5000);
+        let before = runs("run");
+        let cancelled = runs("cancel");
+        let call = smol::spawn(async move { caller.send(&ask).await });
+        wait_until("it runs", || runs("run") > before);
+        smol::block_on(call.cancel());
+        wait_until("the engine is told", || runs("cancel") > cancelled);
+        let next = Call::send(&caller, mixed(n));
+        assert_eq!(wrong_answers(std::slice::from_ref(&next)), Vec::<String>::new());
+        assert_eq!(next.answered.status, 200);
+    }
+}
+
+/// A side that is killed under load cuts its streams openly; whole answers come from the other.
+#[test]
+fn side_is_killed() {
+    let fleet = fleet();
+    let traffic = Traffic::start(vec![fleet.caller(0)], 8, mixed);
+    traffic.wait_for(40);
+    fleet.process("gpu-1").kill();
+    traffic.wait_for(80);
+    let calls = traffic.stop();
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    let last = calls.last().expect("a call");
+    assert_eq!(last.answered.status, 200, "{}", last.answered.text());
+}
--- /dev/null
+++ b/tests/promise_withdrawn.rs
@@ -0,0 +1,123 @@
+//! A withdrawn version receives no new work.
+
+mod common;
+
+use common::checks::{false_not_run, runs_after, wrong_answers};
+use common::traffic::{Traffic, now_us};
+use common::{builder, engine, objects};
+use redwingfold_standins::fleet::{Ask, wait_until};
+use redwingfold_standins::{EngineSettings, Event};
+
+fn withdraw(fleet: &redwingfold_standins::fleet::Fleet, more: &[&str]) {
+    let args = [&["withdraw", "slip-1", "--reason", "reads 8 as 3"], more].concat();
+    let output = fleet.ctl(&args);
+    assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+}
+
+fn events(fleet: &redwingfold_standins::fleet::Fleet) -> Vec<Event> {
+    fleet.engines.values().flat_map(|e| e.history.events()).collect()
+}
+
+/// Callers see answers by slip-1, then a refusal, and never slip-1 again. Two entries are under
+/// load; one is frozen while slip-1 is withdrawn, and wakes with requests in hand and the old
+/// configuration. The side has the new one and refuses what the stale entry sends.
+#[test]
+fn stale_entry_cannot_give_it_work() {
+    let fleet = builder()
+        .entries(2)
+        .engine("gpu-1", engine(&["slip-1"]))
+        .engine("gpu-2", engine(&["slip-1"]))
+        .start(&objects());
+    let ask = |n| Ask::chat("ani", "slip", &format!("slip {n}"));
+    let traffic = Traffic::start(vec![fleet.caller(0), fleet.caller(1)], 6, ask);
+    traffic.wait_for(50);
+    fleet.process("entry-1").freeze();
+    withdraw(&fleet, &[]);
+    wait_until("sides know", || {
+        ["gpu-1", "gpu-2"].iter().all(|h| fleet.process(h).count("config_in_force offset=2") > 0)
+    });
+    let known = now_us();
+    fleet.process("entry-1").thaw();
+    traffic.wait_for(50);
+    let calls = traffic.stop();
+    assert_eq!(runs_after(&events(&fleet), "slip-1", known), Vec::<String>::new());
+    assert_eq!(false_not_run(&calls, &events(&fleet)), Vec::<String>::new());
+    assert_eq!(wrong_answers(&calls), Vec::<String>::new());
+    assert!(calls.iter().any(|c| c.answered.error_code().0 == "version_withdrawn"));
+}
+
+/// Callers whose requests wait in a side's queue are refused as not run, at once. The engine has
+/// one slot and long answers; the version is withdrawn while others wait behind the first.
+#[test]
+fn queued_work_is_refused() {
+    let slow = EngineSettings { slots: 1, token_ms: 40, ..engine(&["slip-1"]) };
+    let fleet = builder().engine("gpu-1", slow).start(&objects());
+    let caller = fleet.caller(0);
+    let first = std::thread::spawn(move || {
+        caller.send_blocking(&Ask::chat("ani", "slip", "first").stream(100))
+    });
+    wait_until("the first runs", || fleet.engines["gpu-1"].history.of("run").len() == 1);
+    let waiting: Vec<_> = (0..5)
+        .map(|n| {
+            let ask = Ask::chat("ani", "slip", &format!("waits {n}"));
+            std::thread::spawn(move || caller.send_blocking(&ask))
+        })
+        .collect();
+    wait_until("others wait", || fleet.daemon_status("gpu-1")["backends"][0]["busy"] == 6);
+    withdraw(&fleet, &[]);
+    for thread in waiting {
+        let answered = thread.join().expect("caller");
+        let expected = ("version_withdrawn".to_owned(), "not_run".to_owned());
+        assert_eq!(answered.error_code(), expected, "{}", answered.text());
+        assert!(answered.header("retry-after").is_some());
+    }
+    assert_eq!(fleet.engines["gpu-1"].history.of("run").len(), 1);
+    // The stream under way is left to its end, as the withdrawal did not say otherwise.
+    assert!(first.join().expect("caller").is_whole_stream());
+}
+
+/// A caller of a stream sees it cut, openly, when the withdrawal says so.
+#[test]
+fn streams_are_cut_on_demand() {
+    let slow = EngineSettings { token_ms: 40, ..engine(&["slip-1"]) };
+    let fleet = builder().engine("gpu-1", slow).start(&objects());
+    let caller = fleet.caller(0);
+    let first = std::thread::spawn(move || {
+        caller.send_blocking(&Ask::chat("ani", "slip", "long").stream(1000))
+    });
+    wait_until("it runs", || fleet.engines["gpu-1"].history.of("run").len() == 1);
+    withdraw(&fleet, &["--cut"]);
+    let answered = first.join().expect("caller");
+    assert!(!answered.is_whole_stream());
+    assert!(answered.text().contains("version_withdrawn"), "{}", answered.text());
+    wait_until("engine is told", || fleet.engines["gpu-1"].history.of("cancel").len() == 1);
+}
+
+/// Callers are refused although the log service went away right after it took the withdrawal. The
+/// operator's tool gives the record to the daemons itself, and they pass it on.
+#[test]
+fn outage_right_after_the_acceptance() {
+    let mut fleet = builder()
+        .entries(2)
+        .engine("gpu-1", engine(&["slip-1"]))
+        .engine("gpu-2", engine(&["slip-1"]))
+        .start(&objects());
+    // No daemon reads the log any more: what they learn, they learn from the tool.
+    for host in ["entry-0", "entry-1", "gpu-1", "gpu-2"] {
+        fleet.cut_log(host, true);
+    }
+    withdraw(&fleet, &[]);
+    fleet.log.set(|faults| faults.outage = true);
+    let known = now_us();
+    // A side that is replaced in the outage has no log to read; it learns from an entry.
+    fleet.process("gpu-2").kill();
+    fleet.restart("gpu-2");
+    for n in 0..20 {
+        let answered = fleet.caller(n % 2).send_blocking(&Ask::chat("ani", "slip", "one"));
+        assert_ne!(answered.status, 200, "{}", answered.text());
+    }
+    assert_eq!(runs_after(&events(&fleet), "slip-1", known), Vec::<String>::new());
+    wait_until("the new side has it", || {
+        fleet.process("gpu-2").count("config_in_force offset=2") > 0
+    });
+}
