fix: send a request again when its connection went silent, and let streams go on

Cause: a request whose side had only one backend server was refused when its connection fell silent, although a new connection to the same server was there 20 ms later: what was tried was remembered by host. Ruled out: the retry budget (20 saved up, 12 used). Change: tried servers are remembered by connection, and after a lost connection a request waits up to two heartbeats for the one that takes its place. A replaced connection is kept until its last answer has ended, since the peer may only have been slow. One clock a connection looks at its detector in place of a timer for each answer under way.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -5,11 +5,12 @@
 
 use redwingfold_core::Health;
 use redwingfold_core::{
-    Bill, Candidate, Config, ErrorKind, HostId, Millis, Offset, PerMille, RequestId, RunState,
-    VersionName, pick, plan,
+    Bill, Candidate, Config, ErrorKind, Millis, Offset, PerMille, RequestId, RunState, VersionName,
+    pick, plan,
 };
 use redwingfold_http::{BodySender, Response, StatusCode, channel_body};
 use serde_json::Value;
+use smol::Timer;
 
 use super::answer::{Failed, error_body};
 use super::attempt::{Answering, AttemptFailed, Piece, begin};
@@ -21,6 +22,7 @@
 use super::sessions::version_of;
 use super::sides::{SideLink, usable};
 use crate::billing::Held;
+use crate::clock::span;
 use crate::wire::{CallHead, RunCall, RunEnd, RunHead, Usage};
 
 /// Bytes of a streamed answer that are kept for rating it.
@@ -35,6 +37,9 @@
 /// How often a request is planned anew because a side knew a newer configuration.
 const MAX_REPLANS: u32 = 3;
 
+/// Pause between looks for a connection that takes the place of a lost one.
+const RECONNECT_POLL: Millis = Millis(10);
+
 /// Longest wait for the records that a side had and this entry had not.
 const CATCH_UP: Millis = Millis(1_000);
 
@@ -98,12 +103,16 @@
     offset: Offset,
 }
 
+/// Backend servers that a request has been to, each by the connection that led there: a new
+/// connection to the same host may do what a silent one did not.
+type Tried = BTreeSet<(usize, String)>;
+
 /// What was spent on a request so far, and where it has been.
 #[derive(Default)]
 struct Spent {
     attempts: u32,
     usage: Usage,
-    tried: BTreeSet<(HostId, String)>,
+    tried: Tried,
 }
 
 impl Chat {
@@ -223,7 +232,7 @@
             })?;
             spent.attempts += 1;
             tries += 1;
-            spent.tried.insert((link.host.clone(), backend.clone()));
+            spent.tried.insert((link.conn.stable_id(), backend.clone()));
             self.step(
                 "attempt",
                 format!("{} {version} at {}/{backend}", spent.attempts, link.host),
@@ -244,12 +253,29 @@
             if !again || !self.entry.try_retry() {
                 return Err(failed);
             }
-            if self.pick(version, &spent.tried).is_none() {
+            if !self.has_another(version, &spent.tried, kind).await {
                 return Err(failed);
             }
         }
     }
 
+    /// Says whether another backend server is left. After a lost connection it waits a moment for
+    /// the one that takes its place, and for what the side tells on it.
+    async fn has_another(&self, version: &VersionName, tried: &Tried, kind: ErrorKind) -> bool {
+        let found = async {
+            while self.pick(version, tried).is_none() {
+                Timer::after(span(RECONNECT_POLL)).await;
+            }
+        };
+        match kind {
+            ErrorKind::BackendLost => {
+                let limit = Millis(self.entry.settings.heartbeat.interval_ms.0 * 2);
+                crate::clock::within(limit, found).await.is_some()
+            }
+            _ => self.pick(version, tried).is_some(),
+        }
+    }
+
     async fn run_once(
         self: &Arc<Self>,
         link: &Arc<SideLink>,
@@ -294,11 +320,7 @@
     }
 
     /// Picks a backend server that has the version; those that were tried only if no other is left.
-    fn pick(
-        &self,
-        version: &VersionName,
-        tried: &BTreeSet<(HostId, String)>,
-    ) -> Option<(Arc<SideLink>, String)> {
+    fn pick(&self, version: &VersionName, tried: &Tried) -> Option<(Arc<SideLink>, String)> {
         let now = self.entry.daemon.now();
         let prefix = prefix_of(version, &self.req.prompt);
         let mut candidates = Vec::new();
@@ -306,7 +328,7 @@
             let healthy = link.link.health(now) == Health::Live;
             for told in link.backends() {
                 let name = &told.load.backend;
-                let is_tried = tried.contains(&(link.host.clone(), name.clone()));
+                let is_tried = tried.contains(&(link.conn.stable_id(), name.clone()));
                 if is_tried || !told.load.up || !told.load.versions.contains(version) {
                     continue;
                 }
--- a/src/entry/sides.rs
+++ b/src/entry/sides.rs
@@ -4,7 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use quinn::{Connection, Endpoint};
+use quinn::{Connection, Endpoint, VarInt};
 use redwingfold_core::{Bill, Health, KeyHash, PinKey};
 use redwingfold_core::{HostId, Incarnation, Member, Millis, pin_holders, rank, subset};
 use smol::Timer;
@@ -16,7 +16,10 @@
 use crate::daemon::Daemon;
 use crate::peer::{Connected, Link, LinkEvents, connect, dial, run_control};
 use crate::platform::{HostRecord, HostState};
-use crate::wire::Load;
+use crate::wire::{Control, FrameReader, FrameWriter, Load};
+
+/// Pause between looks whether a replaced connection is needed still.
+const UNNEEDED_POLL: Millis = Millis(200);
 
 const FIRST_BACKOFF: Millis = Millis(100);
 
@@ -39,7 +42,6 @@
     pub(crate) conn: Connection,
     pub(crate) link: Arc<Link>,
     leaving: AtomicBool,
-    retired: AtomicBool,
     told: Mutex<BTreeMap<String, Told>>,
     _endpoint: Endpoint,
 }
@@ -78,9 +80,12 @@
     }
 
     /// Waits until the connection is dead, or another has taken its place while it was silent.
+    ///
+    /// This is for requests without an answer yet. A stream that has begun waits for [`Self::dead`]:
+    /// the peer may just have been slow, and the rest of the stream come after all.
     pub(crate) async fn given_up(&self, daemon: &Daemon) {
-        let retired = || self.retired.load(Ordering::Relaxed);
-        self.link.until(daemon, |health| health == Health::Dead || retired()).await;
+        let gone = |health| health == Health::Dead || self.link.is_replaced();
+        self.link.until(daemon, gone).await;
     }
 }
 
@@ -250,7 +255,6 @@
         conn: connected.conn,
         link: Arc::new(Link::new(&entry.daemon, true)),
         leaving: AtomicBool::new(false),
-        retired: AtomicBool::new(false),
         told: Mutex::default(),
         _endpoint: connected.endpoint,
     });
@@ -260,6 +264,28 @@
         .telemetry
         .info("side_connected", &[("host", &link.host), ("incarnation", &link.incarnation)]);
     smol::spawn(sweep(entry.clone())).detach();
+    let control = smol::spawn(control(entry.clone(), link.clone(), connected.tx, connected.rx));
+    let next = smol::future::or(
+        async {
+            link.dead(&entry.daemon).await;
+            None
+        },
+        watch(entry, record, &link),
+    )
+    .await;
+    entry.sides.remove(&link);
+    // Answers under way on a connection that was replaced go on; it ends with the last of them.
+    control.detach();
+    next
+}
+
+/// Runs the control stream of a connection until it is dead, or was replaced and is not needed.
+async fn control(
+    entry: Arc<Entry>,
+    link: Arc<SideLink>,
+    tx: FrameWriter<Control>,
+    rx: FrameReader<Control>,
+) {
     let events = LinkEvents {
         on_beat: &|leaving, loads| {
             if leaving && !link.leaving.swap(true, Ordering::Relaxed) {
@@ -268,22 +294,25 @@
             link.note_loads(loads);
         },
         on_confirmed: &|ids| entry.bills.forget(&ids),
-        on_hold: &|bills| take_over(entry, bills),
+        on_hold: &|bills| take_over(&entry, bills),
         on_held: &|_| {},
         is_leaving: &|| entry.drain.is_draining(),
         loads: &Vec::new,
     };
     let peer = link.host.to_string();
     let run = async {
-        let ended =
-            run_control(&entry.daemon, &link.link, &peer, connected.tx, connected.rx, &events);
-        let why = ended.await;
+        let why = run_control(&entry.daemon, &link.link, &peer, tx, rx, &events).await;
         entry.daemon.telemetry.info("side_gone", &[("host", &link.host), ("why", &why)]);
-        None
     };
-    let next = smol::future::or(run, watch(entry, record, &link)).await;
-    entry.sides.remove(&link);
-    next
+    let unneeded = async {
+        link.given_up(&entry.daemon).await;
+        while Arc::strong_count(&link) > 1 {
+            Timer::after(span(UNNEEDED_POLL)).await;
+        }
+    };
+    smol::future::or(run, unneeded).await;
+    link.link.give_up();
+    link.conn.close(VarInt::from_u32(0), b"over");
 }
 
 /// Waits until the connection is silent, and opens another beside it.
@@ -303,7 +332,7 @@
                 daemon.telemetry.info("side_back", &[("host", &link.host)]);
             }
             (Ok(spare), _) => {
-                link.retired.store(true, Ordering::Relaxed);
+                link.link.replace();
                 daemon.telemetry.info("side_replaced", &[("host", &link.host)]);
                 return Some(spare);
             }
--- a/src/peer/control.rs
+++ b/src/peer/control.rs
@@ -1,7 +1,9 @@
 //! The control stream of a connection: heartbeats, loads, the configuration, confirmed bills.
 
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Mutex, PoisonError};
 
+use event_listener::Event;
 use redwingfold_core::{Bill, Detector, Health, KeyHash, Millis, Offset};
 use smol::Timer;
 use smol::channel::{Receiver, Sender, unbounded};
@@ -18,6 +20,9 @@
 #[derive(Debug)]
 pub(crate) struct Link {
     detector: Mutex<Detector>,
+    is_over: AtomicBool,
+    is_replaced: AtomicBool,
+    moved: Event,
     out_tx: Sender<Control>,
     out_rx: Receiver<Control>,
     asks: bool,
@@ -28,7 +33,15 @@
     pub(crate) fn new(daemon: &Daemon, asks: bool) -> Self {
         let (out_tx, out_rx) = unbounded();
         let detector = Detector::new(daemon.heartbeat.policy(), daemon.now());
-        Self { detector: Mutex::new(detector), out_tx, out_rx, asks }
+        Self {
+            detector: Mutex::new(detector),
+            is_over: AtomicBool::new(false),
+            is_replaced: AtomicBool::new(false),
+            moved: Event::new(),
+            out_tx,
+            out_rx,
+            asks,
+        }
     }
 
     fn with<T>(&self, f: impl FnOnce(&mut Detector) -> T) -> T {
@@ -41,7 +54,16 @@
     }
 
     pub(crate) fn health(&self, now: Millis) -> Health {
-        self.with(|d| d.health(now))
+        match self.is_over.load(Ordering::Relaxed) {
+            true => Health::Dead,
+            false => self.with(|d| d.health(now)),
+        }
+    }
+
+    /// Gives the connection up: from now on it counts as dead.
+    pub(crate) fn give_up(&self) {
+        self.is_over.store(true, Ordering::Relaxed);
+        self.moved.notify(usize::MAX);
     }
 
     /// Queues a message; it is dropped if the connection is gone.
@@ -49,10 +71,26 @@
         self.out_tx.try_send(message).ok();
     }
 
-    /// Waits until the peer's health is one that `wanted` accepts.
+    /// Notes that another connection has taken this one's place while it was silent.
+    pub(crate) fn replace(&self) {
+        self.is_replaced.store(true, Ordering::Relaxed);
+        self.moved.notify(usize::MAX);
+    }
+
+    pub(crate) fn is_replaced(&self) -> bool {
+        self.is_replaced.load(Ordering::Relaxed)
+    }
+
+    /// Waits until the peer's health is one that `wanted` accepts. The control stream's clock looks
+    /// at the detector for all who wait: with a thousand answers under way, a timer for each would
+    /// cost more than the answers.
     pub(crate) async fn until(&self, daemon: &Daemon, wanted: impl Fn(Health) -> bool) {
-        while !wanted(self.health(daemon.now())) {
-            Timer::after(span(self.check_every(daemon))).await;
+        loop {
+            let moved = self.moved.listen();
+            if wanted(self.health(daemon.now())) {
+                return;
+            }
+            moved.await;
         }
     }
 
@@ -106,9 +144,17 @@
         }
     };
     let ask = async {
+        let mut last = Health::Live;
         loop {
             Timer::after(span(link.check_every(daemon))).await;
             let now = daemon.now();
+            let health = link.health(now);
+            if std::mem::replace(&mut last, health) != health {
+                link.moved.notify(usize::MAX);
+            }
+            if health == Health::Dead {
+                return WireError::Lost("silent for too long".to_owned());
+            }
             if link.asks && link.with(|d| d.should_ask(now)) {
                 link.with(|d| d.asked(now));
                 link.send(beat(daemon, events, true));
@@ -121,7 +167,9 @@
             link.send(beat(daemon, events, false));
         }
     };
-    smol::future::or(smol::future::or(read, write), smol::future::or(ask, tell)).await
+    let ended = smol::future::or(smol::future::or(read, write), smol::future::or(ask, tell)).await;
+    link.give_up();
+    ended
 }
 
 fn beat(daemon: &Daemon, events: &LinkEvents<'_>, ask: bool) -> Control {
--- a/tests/promise_billed_once.rs
+++ b/tests/promise_billed_once.rs
@@ -6,7 +6,7 @@
 use common::traffic::{Call, Traffic};
 use common::{builder, engine, objects};
 use redwingfold_core::BillFold;
-use redwingfold_standins::fleet::{Ask, Fleet, Objects, wait_until};
+use redwingfold_standins::fleet::{Ask, Fleet, wait_until};
 use serde_json::json;
 
 fn fleet() -> Fleet {
