--- /dev/null
+++ b/core/tests/claims.rs
@@ -0,0 +1,280 @@
+//! Calls that may not be repeated, under random schedules of entries, sides and the log.
+//!
+//! Entries claim, are paused for any time between any two steps, lose answers of the log, and die;
+//! sides start anew and forget. All of it happens in virtual time, thousands of schedules a run.
+
+use std::collections::BTreeMap;
+
+use redwingfold_core::{
+    CallAnswer, CallState, CallTable, Claim, ClaimFold, ClaimId, Incarnation, KeyHash, Offset,
+    RequestId, Standing,
+};
+use todc_utils::{Action, History, Specification, WGLChecker};
+
+const SIDES: usize = 2;
+const ENTRIES: usize = 3;
+const STEPS: usize = 60;
+const MAX_ROUNDS: usize = 3;
+const KEY: KeyHash = KeyHash(7);
+
+/// Draws numbers from the bytes of a schedule.
+struct Draw<'a>(&'a [u8], usize);
+
+impl Draw<'_> {
+    fn below(&mut self, n: usize) -> usize {
+        self.1 += 1;
+        let byte = self.0.get(self.1 % self.0.len().max(1)).copied().unwrap_or(0);
+        // The position is mixed in, so that short inputs still make long schedules.
+        (usize::from(byte) ^ (self.1.wrapping_mul(0x9e37) >> 7)) % n
+    }
+
+    fn once_in(&mut self, n: usize) -> bool {
+        self.below(n) == 0
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Append { replaces: Option<ClaimId>, rounds: usize },
+    Read { claim: Claim, rounds: usize },
+    Settle { holder: Claim, rounds: usize },
+    Send { claim: Claim },
+    Over,
+}
+
+/// How a caller's request ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum End {
+    NotRun,
+    Ran,
+    Replayed,
+    Unknown,
+}
+
+struct Side {
+    table: CallTable,
+    incarnation: Incarnation,
+}
+
+struct World {
+    log: Vec<Claim>,
+    sides: Vec<Side>,
+    runs: usize,
+    next: u128,
+    /// Whether the side looks into its table before it runs; off in the planted violation.
+    is_checked: bool,
+}
+
+impl World {
+    fn new(is_checked: bool) -> Self {
+        let side = |n: usize| {
+            let incarnation = Incarnation(n as u64 + 1);
+            Side { table: CallTable::new(incarnation, 100, 1000), incarnation }
+        };
+        Self {
+            log: Vec::new(),
+            sides: (0..SIDES).map(side).collect(),
+            runs: 0,
+            next: 1,
+            is_checked,
+        }
+    }
+
+    fn side_of(&mut self, claim: &Claim) -> &mut Side {
+        let n = claim.host.as_str().trim_start_matches("side-").parse::<usize>().unwrap();
+        &mut self.sides[n]
+    }
+
+    fn restart(&mut self, n: usize) {
+        let incarnation = Incarnation(1000 + self.next as u64);
+        self.next += 1;
+        self.sides[n] = Side { table: CallTable::new(incarnation, 100, 1000), incarnation };
+    }
+
+    fn fold(&self) -> ClaimFold {
+        let mut fold = ClaimFold::default();
+        for (i, claim) in self.log.iter().enumerate() {
+            fold.apply(Offset(i as u64 + 1), &serde_json::to_vec(claim).unwrap());
+        }
+        fold
+    }
+
+    /// Takes one step of an entry's request.
+    fn step(&mut self, step: Step, draw: &mut Draw<'_>) -> (Step, Option<End>) {
+        match step {
+            Step::Append { rounds: MAX_ROUNDS, .. } => (Step::Over, Some(End::NotRun)),
+            Step::Append { replaces, rounds } => {
+                let n = draw.below(SIDES);
+                let claim = Claim {
+                    id: ClaimId(self.next),
+                    key: KEY,
+                    request: RequestId(self.next),
+                    host: format!("side-{n}").parse().unwrap(),
+                    incarnation: self.sides[n].incarnation,
+                    replaces,
+                };
+                self.next += 1;
+                if draw.once_in(8) {
+                    // The log is away: nothing took effect, and the caller is told so.
+                    return (Step::Over, Some(End::NotRun));
+                }
+                self.log.push(claim.clone());
+                (Step::Read { claim, rounds }, None)
+            }
+            Step::Read { claim, rounds } => match self.fold().standing(&claim) {
+                Standing::Holds => (Step::Send { claim }, None),
+                Standing::Absent => (Step::Over, Some(End::NotRun)),
+                Standing::Behind(holder) => (Step::Settle { holder, rounds }, None),
+            },
+            Step::Settle { holder, rounds } => {
+                let table = &mut self.side_of(&holder).table;
+                match table.state(&holder) {
+                    Some(CallState::Done(_)) => (Step::Over, Some(End::Replayed)),
+                    Some(CallState::Running | CallState::Unknown) => {
+                        (Step::Over, Some(End::Unknown))
+                    }
+                    None | Some(CallState::Closed) => match table.close(&holder) {
+                        Some(true) => {
+                            let replaces = Some(holder.id);
+                            (Step::Append { replaces, rounds: rounds + 1 }, None)
+                        }
+                        _ => (Step::Over, Some(End::Unknown)),
+                    },
+                }
+            }
+            Step::Send { claim } => {
+                let is_checked = self.is_checked;
+                let side = self.side_of(&claim);
+                if side.table.begin(&claim).is_err() && is_checked {
+                    return (Step::Over, Some(End::Unknown));
+                }
+                self.runs += 1;
+                if draw.once_in(6) {
+                    self.side_of(&claim).table.lost(claim.id);
+                    return (Step::Over, Some(End::Unknown));
+                }
+                let answer = CallAnswer { status: 200, content_type: None, body: None };
+                self.side_of(&claim).table.done(claim.id, answer);
+                (Step::Over, Some(End::Ran))
+            }
+            Step::Over => (Step::Over, None),
+        }
+    }
+}
+
+/// A call that may not be repeated, as one object: it runs once, or is refused.
+struct OneCall;
+
+impl Specification for OneCall {
+    type Operation = End;
+    type State = bool;
+
+    fn init() -> bool {
+        false
+    }
+
+    fn apply(end: &End, has_run: &bool) -> (bool, bool) {
+        match end {
+            End::Ran => (!has_run, true),
+            End::Replayed => (*has_run, true),
+            End::NotRun | End::Unknown => (true, *has_run),
+        }
+    }
+}
+
+/// Runs a schedule; returns the number of runs and the history of the calls.
+fn schedule(bytes: &[u8], is_checked: bool) -> (usize, Vec<(usize, Action<End>)>) {
+    let mut draw = Draw(bytes, 0);
+    let mut world = World::new(is_checked);
+    let mut entries = BTreeMap::<usize, Step>::new();
+    let mut calls = Vec::new();
+    let mut ends = BTreeMap::new();
+    let mut next_call = 0;
+    for _ in 0..STEPS {
+        if draw.once_in(20) {
+            let n = draw.below(SIDES);
+            world.restart(n);
+        }
+        if entries.len() < ENTRIES && draw.once_in(3) {
+            entries.insert(next_call, Step::Append { replaces: None, rounds: 0 });
+            calls.push((next_call, true));
+            next_call += 1;
+        }
+        let Some(&call) = entries.keys().nth(draw.below(entries.len().max(1))) else { continue };
+        if draw.once_in(25) {
+            // The entry dies; its caller never hears.
+            entries.remove(&call);
+            calls.push((call, false));
+            ends.insert(call, End::Unknown);
+            continue;
+        }
+        let step = entries.remove(&call).unwrap();
+        match world.step(step, &mut draw) {
+            (_, Some(end)) => {
+                calls.push((call, false));
+                ends.insert(call, end);
+            }
+            (next, None) => {
+                entries.insert(call, next);
+            }
+        }
+    }
+    for call in entries.into_keys() {
+        calls.push((call, false));
+        ends.insert(call, End::Unknown);
+    }
+    let action = |&(call, begins): &(usize, bool)| match begins {
+        true => (call, Action::Call(ends[&call])),
+        false => (call, Action::Response(ends[&call])),
+    };
+    (world.runs, calls.iter().map(action).collect())
+}
+
+/// A family sees one confirmation at most, whatever entries, sides and the log do, and in whatever
+/// order: runs are counted at the sides.
+#[test]
+fn a_call_runs_at_most_once() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let (runs, _) = schedule(bytes, true);
+        assert!(runs <= 1, "ran {runs} times");
+    });
+}
+
+/// What callers are told fits one order of events: one "ran", replays only after it. Schedules in
+/// which the fate of a run stayed unknown are left out, since that run may be what was replayed.
+#[test]
+fn what_callers_are_told_is_linearizable() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let (_, history) = schedule(bytes, true);
+        let is_known =
+            history.iter().all(|(_, action)| !matches!(action, Action::Call(End::Unknown)));
+        if is_known && !history.is_empty() {
+            assert!(WGLChecker::<OneCall>::is_linearizable(History::from_actions(history)));
+        }
+    });
+}
+
+/// The check above finds a violation: sides that run whatever they are sent run a call twice.
+#[test]
+fn a_side_that_does_not_look_is_caught() {
+    let mut worst = 0;
+    for seed in 0..4000_u32 {
+        let bytes: Vec<u8> = (0..64)
+            .map(|i| xxhash_rust::xxh3::xxh3_64(&[seed.to_be_bytes(), [i, 0, 0, 0]].concat()) as u8)
+            .collect();
+        worst = worst.max(schedule(&bytes, false).0);
+    }
+    assert!(worst > 1, "no schedule ran a call twice");
+}
+
+/// A history with two runs is not linearizable, so the checker can say no.
+#[test]
+fn the_checker_refuses_two_runs() {
+    let two = vec![
+        (0, Action::Call(End::Ran)),
+        (0, Action::Response(End::Ran)),
+        (1, Action::Call(End::Ran)),
+        (1, Action::Response(End::Ran)),
+    ];
+    assert!(!WGLChecker::<OneCall>::is_linearizable(History::from_actions(two)));
+}
--- /dev/null
+++ b/core/tests/fold.rs
@@ -0,0 +1,157 @@
+//! The fold of the configuration stream.
+
+use std::collections::BTreeMap;
+
+use redwingfold_core::{
+    Change, Fold, Millis, ModelSpec, Object, ObjectKey, Offset, PerMille, Record, RequestId, Spec,
+    StreamsOnWithdrawal, Verdict, VersionSpec, Withdrawal,
+};
+
+fn version(name: &str, cost: u64) -> Object {
+    let spec = VersionSpec {
+        model: "slip".parse().unwrap(),
+        cost_per_ktok: cost,
+        quality: PerMille(900),
+        quality_weight: 20,
+        withdrawn_at: None,
+        withdrawn_streams: StreamsOnWithdrawal::Finish,
+    };
+    Object { name: name.to_owned(), labels: BTreeMap::new(), spec: Spec::Version(spec) }
+}
+
+fn model(current: &str) -> Object {
+    let spec = ModelSpec { current: current.parse().unwrap() };
+    Object { name: "slip".to_owned(), labels: BTreeMap::new(), spec: Spec::Model(spec) }
+}
+
+fn change(id: u128, expects: &[(&str, u64)], put: Vec<Object>) -> Vec<u8> {
+    let expects = expects.iter().map(|(key, offset)| (key.parse().unwrap(), Offset(*offset)));
+    let record = Record::Change(Change {
+        id: RequestId(id),
+        author: format!("desk-{id}"),
+        reason: "test".to_owned(),
+        at: Millis(0),
+        expects: expects.collect(),
+        put,
+        delete: Vec::new(),
+    });
+    serde_json::to_vec(&record).unwrap()
+}
+
+fn withdraw(id: u128, version: &str) -> Vec<u8> {
+    let record = Record::Withdraw(Withdrawal {
+        id: RequestId(id),
+        author: "desk".to_owned(),
+        reason: "bad".to_owned(),
+        at: Millis(0),
+        version: version.parse().unwrap(),
+        streams: StreamsOnWithdrawal::Finish,
+    });
+    serde_json::to_vec(&record).unwrap()
+}
+
+fn first() -> Vec<u8> {
+    change(1, &[("model/slip", 0), ("version/a", 0)], vec![model("a"), version("a", 1)])
+}
+
+/// Two operators change one object from the same state: the log's order decides, and the second is
+/// told by whom and what it was changed.
+#[test]
+fn one_of_two_racing_changes_wins() {
+    let mut fold = Fold::default();
+    assert_eq!(fold.apply(Offset(1), &first()), Some(Verdict::Accepted));
+    let price = |id, cost| change(id, &[("version/a", 1)], vec![version("a", cost)]);
+    assert_eq!(fold.apply(Offset(2), &price(2, 5)), Some(Verdict::Accepted));
+    match fold.apply(Offset(3), &price(3, 6)) {
+        Some(Verdict::Rejected { why }) => assert!(why.contains("desk-2"), "{why}"),
+        other => panic!("{other:?}"),
+    }
+    assert_eq!(fold.config().version(&"a".parse().unwrap()).unwrap().cost_per_ktok, 5);
+}
+
+/// A withdrawal wins over a change that was made from the state before it, whichever the operator
+/// sent first: putting a bad version back by accident would harm callers again.
+#[test]
+fn stale_change_cannot_undo_a_withdrawal() {
+    let mut fold = Fold::default();
+    fold.apply(Offset(1), &first());
+    fold.apply(Offset(2), &withdraw(2, "a"));
+    let stale = change(3, &[("version/a", 1)], vec![version("a", 9)]);
+    assert!(matches!(fold.apply(Offset(3), &stale), Some(Verdict::Rejected { .. })));
+    assert_eq!(fold.config().version(&"a".parse().unwrap()).unwrap().withdrawn_at, Some(Offset(2)));
+    let knowing = change(4, &[("version/a", 2)], vec![version("a", 9)]);
+    assert_eq!(fold.apply(Offset(4), &knowing), Some(Verdict::Accepted));
+    assert_eq!(fold.config().version(&"a".parse().unwrap()).unwrap().withdrawn_at, None);
+}
+
+/// Objects that do not fit together are rejected as a whole, with every reason.
+#[test]
+fn dangling_references_are_rejected() {
+    let mut fold = Fold::default();
+    let dangling = change(1, &[("model/slip", 0)], vec![model("nowhere")]);
+    match fold.apply(Offset(1), &dangling) {
+        Some(Verdict::Rejected { why }) => assert!(why.contains("version/nowhere"), "{why}"),
+        other => panic!("{other:?}"),
+    }
+    assert!(fold.config().objects.is_empty());
+}
+
+/// A record made of a few bytes: changes from a right or stale state, withdrawals, copies, garbage.
+fn record(byte: u8, at: u64) -> Vec<u8> {
+    let id = u128::from(byte % 32) + 10;
+    match byte % 7 {
+        0 => vec![byte; 5],
+        1 => withdraw(id, if byte < 128 { "a" } else { "b" }),
+        2 => change(id, &[("version/b", 0)], vec![version("b", u64::from(byte))]),
+        3 => change(id, &[("version/b", at.saturating_sub(1))], vec![version("b", 7)]),
+        4 => change(id, &[("model/slip", 1)], vec![model("b")]),
+        5 => change(id, &[("version/a", u64::from(byte % 8))], vec![version("a", u64::from(byte))]),
+        _ => b"{\"type\":\"recolour\",\"id\":\"00\"}".to_vec(),
+    }
+}
+
+/// Every daemon has the same state at the same offset, whether it read each record, began from a
+/// snapshot, or was sent old records again; and its offset never goes back.
+#[test]
+fn all_ways_lead_to_one_state() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let mut records = vec![first()];
+        records.extend(bytes.iter().take(40).zip(2..).map(|(byte, at)| record(*byte, at)));
+        let mut straight = Fold::default();
+        for (raw, offset) in records.iter().zip(1..) {
+            straight.apply(Offset(offset), raw);
+        }
+        let cut = bytes.first().map_or(0, |b| usize::from(*b) % records.len());
+        let mut early = Fold::default();
+        for (raw, offset) in records.iter().zip(1..).take(cut) {
+            early.apply(Offset(offset), raw);
+        }
+        let json = serde_json::to_vec(&early.snapshot()).unwrap();
+        let mut late = Fold::from_snapshot(serde_json::from_slice(&json).unwrap()).unwrap();
+        let from = cut.saturating_sub(3);
+        for (raw, offset) in records.iter().zip(1..).skip(from) {
+            let before = late.config().offset;
+            late.apply(Offset(offset), raw);
+            assert!(late.config().offset >= before);
+        }
+        assert_eq!(late.state_hash(), straight.state_hash());
+        assert_eq!(late.snapshot(), straight.snapshot());
+    });
+}
+
+/// Whatever stands in the log, the fold takes it or passes over it, and goes on.
+#[test]
+fn any_bytes_are_survived() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let mut fold = Fold::default();
+        fold.apply(Offset(1), bytes);
+        assert_eq!(fold.apply(Offset(2), &first()), Some(Verdict::Accepted));
+    });
+}
+
+#[test]
+fn keys_are_read_back_as_written() {
+    let key: ObjectKey = "version/a".parse().unwrap();
+    assert_eq!(key.to_string(), "version/a");
+    assert!("version".parse::<ObjectKey>().is_err());
+}
