fix(entry): say "may have run" if any attempt may have

Ruled out: the table of error kinds, whose rows were right for each attempt. Change: run states of all attempts are joined; so are those of plain calls that may be repeated, and of a cascade's judged answers.

--- a/core/src/error.rs
+++ b/core/src/error.rs
@@ -18,6 +18,24 @@
     Ran,
 }
 
+impl RunState {
+    /// Returns what is known of a request after two attempts: what any of them says of a run holds
+    /// for both.
+    ///
+    /// ```
+    /// use redwingfold_core::RunState;
+    /// assert_eq!(RunState::MayHaveRun.and(RunState::NotRun), RunState::MayHaveRun);
+    /// ```
+    #[must_use]
+    pub fn and(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::MayHaveRun, _) | (_, Self::MayHaveRun) => Self::MayHaveRun,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+        }
+    }
+}
+
 impl fmt::Display for RunState {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
--- a/src/config_store/mod.rs
+++ b/src/config_store/mod.rs
@@ -2,6 +2,8 @@
 
 mod feed;
 mod store;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use feed::{feed, read_all, write_snapshots};
 pub(crate) use store::{Catchup, ConfigStore};
--- a/src/config_store/store.rs
+++ b/src/config_store/store.rs
@@ -173,6 +173,12 @@
         self.moved.listen()
     }
 
+    /// Returns how many wait for a change.
+    #[cfg(test)]
+    pub(crate) fn listeners(&self) -> usize {
+        self.moved.total_listeners()
+    }
+
     /// Waits until the configuration goes at least to `offset`; says whether it does.
     pub(crate) async fn reaches(&self, offset: Offset, limit: Millis) -> bool {
         let reached = async {
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -108,11 +108,12 @@
 type Tried = BTreeSet<(usize, String)>;
 
 /// What was spent on a request so far, and where it has been.
-#[derive(Default)]
 struct Spent {
     attempts: u32,
     usage: Usage,
     tried: Tried,
+    /// What all failed attempts together say: the last may not have run, and an earlier one have.
+    run: RunState,
 }
 
 impl Chat {
@@ -160,7 +161,12 @@
         if !self.entry.bills.has_room() {
             return Err(ErrorKind::BacklogFull.into());
         }
-        let mut spent = Spent::default();
+        let mut spent = Spent {
+            attempts: 0,
+            usage: Usage::default(),
+            tried: Tried::new(),
+            run: RunState::NotRun,
+        };
         let mut replans = 0;
         loop {
             let chosen = Box::pin(self.choose()).await?;
@@ -177,7 +183,7 @@
                     self.step("stale", format!("the side is at offset {offset}"));
                     self.entry.daemon.store.reaches(offset, CATCH_UP).await;
                 }
-                Err(e) => return Err(e.failed),
+                Err(e) => return Err(Failed { run: spent.run.and(e.failed.run), ..e.failed }),
             }
         }
     }
@@ -211,7 +217,10 @@
             let score = judge(&self.entry, version, &self.caller.class, &text).await;
             self.step("judged", format!("{version}: {score:?}, target {target}"));
             match score {
-                Some(score) if score < target => spent.usage = end.usage,
+                Some(score) if score < target => {
+                    spent.usage = end.usage;
+                    spent.run = RunState::Ran;
+                }
                 _ => return Ok((version.clone(), begun)),
             }
         }
@@ -247,6 +256,7 @@
                 }
                 Err(e) => e,
             };
+            spent.run = spent.run.and(failed.failed.run);
             let (kind, why) = (failed.failed.kind, failed.failed.why.clone());
             self.step("attempt_failed", format!("{kind} ({}): {why}", failed.failed.run));
             let again = is_worth_another(kind) && tries < self.entry.settings.retry.max_attempts;
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -80,6 +80,7 @@
     /// Runs a call that may be repeated, at another backend server after a failure.
     async fn run_repeatable(&self, service: &str) -> Result<Response, Failed> {
         let mut tried = Vec::new();
+        let mut run = RunState::NotRun;
         loop {
             let (link, backend) = self.pick(service, &tried).ok_or_else(|| no_backend(service))?;
             tried.push((link.host.clone(), backend.clone()));
@@ -87,8 +88,9 @@
             let call = self.call(service, &backend, tried.len() as u32);
             let failed = match self.run(&link, call).await {
                 Ok(res) => return Ok(res),
-                Err(e) => e.failed,
+                Err(e) => Failed { run: run.and(e.failed.run), ..e.failed },
             };
+            run = failed.run;
             self.step("attempt_failed", format!("{} ({})", failed.kind, failed.run));
             let may = (tried.len() as u32) < self.entry.settings.retry.max_attempts;
             if !may || self.pick(service, &tried).is_none() || !self.entry.try_retry() {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -2,6 +2,8 @@
 
 mod frame;
 mod message;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use frame::{FrameReader, FrameWriter, MAX_FRAME, WireError};
 pub(crate) use message::{
--- /dev/null
+++ b/src/wire/tests.rs
@@ -0,0 +1,43 @@
+//! Messages are read back as written, and no bytes break the reader.
+
+use redwingfold_core::{Offset, RequestId};
+
+use super::frame::{decode, encode};
+use super::message::{Call, CallHead, Control, Reply, RunFrame, RunHead};
+
+const LENGTH_BYTES: usize = 4;
+
+#[test]
+fn messages_are_read_back_as_written() {
+    let head = CallHead { request: RequestId(7), attempt: 2 };
+    let frames = [
+        RunFrame::Head(head, RunHead { status: 200, content_type: None }),
+        RunFrame::Chunk(head, b"data".to_vec()),
+    ];
+    for frame in frames {
+        let bytes = encode(&frame).unwrap();
+        assert_eq!(decode::<RunFrame>(&bytes[LENGTH_BYTES..]).unwrap(), frame);
+    }
+}
+
+/// A frame that was cut or has bytes behind its end is torn, never taken for a shorter message.
+#[test]
+fn cut_and_overlong_frames_are_torn() {
+    let message = Control::Records(vec![(Offset(1), b"record".to_vec())]);
+    let bytes = encode(&message).unwrap();
+    let body = &bytes[LENGTH_BYTES..];
+    for len in 0..body.len() {
+        assert!(decode::<Control>(&body[..len]).is_err(), "cut at {len}");
+    }
+    assert!(decode::<Control>(&[body, &[0]].concat()).is_err());
+}
+
+#[test]
+fn any_bytes_are_survived() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        decode::<Call>(bytes).ok();
+        decode::<Control>(bytes).ok();
+        decode::<Reply>(bytes).ok();
+        decode::<RunFrame>(bytes).ok();
+    });
+}
--- a/standins/src/fleet/launch.rs
+++ b/standins/src/fleet/launch.rs
@@ -180,12 +180,23 @@
             fleet.start_entry(host, DOMAINS[i % DOMAINS.len()]);
         }
         fleet.list_hosts(Duration::ZERO);
-        fleet.publish(objects);
+        if !objects.is_empty() {
+            fleet.publish(objects);
+        }
         for host in fleet.entries.clone() {
             fleet.wait_ready(&host);
         }
         fleet
     }
+
+    /// Starts the stand-ins and makes keys, without any daemon.
+    ///
+    /// # Panics
+    ///
+    /// If something does not start.
+    pub fn start_without_daemons(self) -> Fleet {
+        self.entries(0).start(&Objects::default())
+    }
 }
 
 impl Fleet {
--- a/standins/src/fleet/objects.rs
+++ b/standins/src/fleet/objects.rs
@@ -66,6 +66,11 @@
         self.with("cascade", name, json!({}), json!({"models": models, "target": target}))
     }
 
+    /// Says whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Returns the JSON list that the operator's tool reads.
     pub fn json(&self) -> String {
         Value::from(self.0.clone()).to_string()
--- /dev/null
+++ b/tests/settings.rs
@@ -0,0 +1,50 @@
+//! Settings that are wrong stop the start with a word on what is wrong.
+
+use redwingfold::settings::{CtlSettings, EntrySettings, SideSettings, parse};
+use serde_json::{Value, json};
+
+fn entry_error(change: impl FnOnce(&mut Value)) -> String {
+    let mut settings = serde_json::to_value(EntrySettings::example()).unwrap();
+    change(&mut settings);
+    let text = settings.to_string();
+    parse("entry.json", &text, &EntrySettings::example()).unwrap_err().to_string()
+}
+
+#[test]
+fn examples_are_valid() {
+    let text = serde_json::to_string(&EntrySettings::example()).unwrap();
+    parse("entry.json", &text, &EntrySettings::example()).unwrap();
+    let text = serde_json::to_string(&SideSettings::example()).unwrap();
+    parse("side.json", &text, &SideSettings::example()).unwrap();
+    let text = serde_json::to_string(&CtlSettings::example()).unwrap();
+    parse("ctl.json", &text, &CtlSettings::example()).unwrap();
+}
+
+#[test]
+fn unknown_keys_are_named_with_the_nearest() {
+    let error = entry_error(|s| s["limits"]["body_byte"] = json!(1));
+    assert!(error.contains("entry.json") && error.contains("limits.body_byte"), "{error}");
+    assert!(error.contains("did you mean \"body_bytes\""), "{error}");
+    let error = entry_error(|s| s["hostt"] = json!("a"));
+    assert!(error.contains("did you mean \"host\""), "{error}");
+}
+
+#[test]
+fn wrong_values_are_named_with_their_path() {
+    let error = entry_error(|s| s["log"]["address"] = json!("localhost"));
+    assert!(error.contains("log.address"), "{error}");
+    let error = entry_error(|s| s["retry"]["max_attempts"] = json!("three"));
+    assert!(error.contains("retry.max_attempts") && error.contains("u32"), "{error}");
+    let error = entry_error(|s| {
+        s.as_object_mut().unwrap().remove("host");
+    });
+    assert!(error.contains("missing field `host`"), "{error}");
+}
+
+/// Whatever stands in the file, reading it ends with settings or an error.
+#[test]
+fn any_text_is_survived() {
+    bolero::check!().with_type::<String>().for_each(|text| {
+        parse("side.json", text, &SideSettings::example()).ok();
+    });
+}
