--- a/core/src/detector.rs
+++ b/core/src/detector.rs
@@ -5,8 +5,10 @@
 /// When a peer loses trust and when it gets it back.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Policy {
-    /// Time between heartbeats.
+    /// Time between heartbeats while answers are awaited, and the time that one may take.
     pub interval: Millis,
+    /// Time between heartbeats while nothing is awaited.
+    pub idle_interval: Millis,
     /// Heartbeats missed in a row before new work goes elsewhere.
     pub misses: u32,
     /// Heartbeats missed in a row before the connection is given up and opened anew.
@@ -45,9 +47,16 @@
     }
 
     /// Says whether a heartbeat is to be sent: nothing arrived for an interval.
-    pub fn should_ask(&self, now: Millis) -> bool {
+    ///
+    /// While answers are awaited a silent peer costs time at once; an idle one can be asked less
+    /// often, and is asked as soon as a request goes to it.
+    pub fn should_ask(&self, now: Millis, is_busy: bool) -> bool {
         let last = self.asked.unwrap_or(self.heard);
-        now.since(last) >= self.policy.interval
+        let every = match is_busy || self.asked.is_some() {
+            true => self.policy.interval,
+            false => self.policy.idle_interval,
+        };
+        now.since(last) >= every
     }
 
     /// Notes that a heartbeat was sent.
@@ -63,7 +72,9 @@
     ///
     /// ```
     /// use redwingfold_core::{Detector, Health, Millis, Policy};
-    /// let policy = Policy { interval: Millis(100), misses: 1, dead_misses: 5 };
+    /// let policy = Policy {
+    ///     interval: Millis(100), idle_interval: Millis(300), misses: 1, dead_misses: 5,
+    /// };
     /// let mut detector = Detector::new(policy, Millis(0));
     /// detector.asked(Millis(100));
     /// assert_eq!(detector.health(Millis(199)), Health::Live);
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -43,4 +43,4 @@
 pub use queue::{FairQueue, QueueLimits, Waiting};
 pub use rollout::{SequentialTest, Tally, TestVerdict};
 pub use route::{Denied, Plan, choose_version, plan, session_share};
-pub use subset::{Member, is_log_reader, pin_holders, rank, subset};
+pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/subset.rs
+++ b/core/src/subset.rs
@@ -1,5 +1,7 @@
 //! Who talks to whom: stable, bounded subsets by rendezvous hashing, spread over failure domains.
 
+use std::collections::{BTreeMap, BTreeSet};
+
 use crate::ids::{FailureDomain, HostId};
 use crate::pin::PinKey;
 
@@ -47,12 +49,54 @@
     layered.into_iter().map(|(_, _, member)| member).collect()
 }
 
-/// Returns the peers that `own` connects to: at most `max`, spread over failure domains.
-pub fn subset<'a>(own: &HostId, members: &'a [Member], max: usize) -> Vec<&'a Member> {
-    let mut ranked = rank(own.as_str(), members);
-    ranked.retain(|m| m.host != *own);
-    ranked.truncate(max);
-    ranked
+/// A side with the pool of backend servers that it belongs to.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct PooledSide {
+    /// The side's host.
+    pub member: Member,
+    /// Its pool; hosts of a pool serve the same versions.
+    pub pool: String,
+}
+
+/// Returns the sides that an entry connects to.
+///
+/// Each side chooses `fan_in` entries in different failure domains, and an entry connects to the
+/// sides that chose it: were entries to choose, some sides would be chosen by none and stand idle
+/// (one in seven at 24 entries with 24 choices among 306 sides). Beside these an entry takes its
+/// own first `per_pool` sides of each pool, so that it can serve every version.
+///
+/// ```
+/// use redwingfold_core::{Member, PooledSide, sides_of_entry};
+/// let member = |host: &str, domain: &str| Member {
+///     host: host.parse().unwrap(),
+///     domain: domain.parse().unwrap(),
+/// };
+/// let entries = [member("e1", "a"), member("e2", "b")];
+/// let sides = [PooledSide { member: member("s1", "a"), pool: "slips".into() }];
+/// let own = "e1".parse().unwrap();
+/// assert_eq!(sides_of_entry(&own, &entries, &sides, 2, 1).len(), 1);
+/// ```
+pub fn sides_of_entry(
+    own: &HostId,
+    entries: &[Member],
+    sides: &[PooledSide],
+    fan_in: usize,
+    per_pool: usize,
+) -> BTreeSet<HostId> {
+    let chose_own = |side: &&PooledSide| {
+        let chosen = rank(side.member.host.as_str(), entries);
+        chosen.iter().take(fan_in).any(|entry| entry.host == *own)
+    };
+    let mut taken: BTreeSet<_> =
+        sides.iter().filter(chose_own).map(|side| side.member.host.clone()).collect();
+    let mut pools = BTreeMap::<&str, Vec<Member>>::new();
+    for side in sides {
+        pools.entry(&side.pool).or_default().push(side.member.clone());
+    }
+    for members in pools.values() {
+        taken.extend(rank(own.as_str(), members).iter().take(per_pool).map(|m| m.host.clone()));
+    }
+    taken
 }
 
 /// Says whether `own` is among the `per_domain` members of its failure domain that read the log
--- a/lab/src/args.rs
+++ b/lab/src/args.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::{overhead, quickstart};
+use crate::{overhead, quickstart, scale};
 
 /// The quickstart and the experiments.
 #[derive(Debug, Parser)]
@@ -26,6 +26,18 @@
         #[arg(long, default_value = "results")]
         out: PathBuf,
     },
+    /// Control cost and propagation at several sizes, for docs/CAPACITY.md.
+    Scale {
+        /// Numbers of daemons.
+        #[arg(long, value_delimiter = ',', default_value = "10,25,50,100,200")]
+        sizes: Vec<usize>,
+        /// Seconds of each measurement.
+        #[arg(long, default_value_t = 15.0)]
+        seconds: f64,
+        /// Folder for the results.
+        #[arg(long, default_value = "results")]
+        out: PathBuf,
+    },
     /// Start everything, send one whole and one streamed request, and stay up.
     Quickstart {
         /// Stop after the two answers.
@@ -45,6 +57,7 @@
 pub fn run(args: LabArgs) -> eyre::Result<bool> {
     match args.command {
         Command::Overhead { seconds, out } => overhead::overhead(seconds, &out),
+        Command::Scale { sizes, seconds, out } => scale::scale(&sizes, seconds, &out),
         Command::Quickstart { once, examples } => quickstart::quickstart(once, &examples),
     }
 }
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,8 +2,10 @@
 
 mod args;
 mod overhead;
+mod plot;
 mod quickstart;
 mod report;
+mod scale;
 mod world;
 
 pub use args::{LabArgs, run};
--- /dev/null
+++ b/lab/src/plot.rs
@@ -0,0 +1,72 @@
+//! Plots as SVG.
+
+use std::path::Path;
+
+use plotters::prelude::*;
+
+/// One line of a plot.
+#[derive(Clone, Debug)]
+pub(crate) struct Line {
+    pub(crate) name: String,
+    pub(crate) points: Vec<(f64, f64)>,
+}
+
+const SIZE: (u32, u32) = (720, 420);
+
+/// Draws lines over a common axis.
+pub(crate) fn plot(
+    path: &Path,
+    title: &str,
+    x_name: &str,
+    y_name: &str,
+    lines: &[Line],
+) -> eyre::Result<()> {
+    let root = SVGBackend::new(path, SIZE).into_drawing_area();
+    root.fill(&WHITE)?;
+    let points = || lines.iter().flat_map(|line| &line.points);
+    let x_max = points().map(|p| p.0).fold(1.0, f64::max);
+    let y_max = points().map(|p| p.1).fold(0.001, f64::max) * 1.1;
+    let mut chart = ChartBuilder::on(&root)
+        .caption(title, ("sans-serif", 18))
+        .margin(10)
+        .x_label_area_size(36)
+        .y_label_area_size(56)
+        .build_cartesian_2d(0.0..x_max, 0.0..y_max)?;
+    chart.configure_mesh().x_desc(x_name).y_desc(y_name).draw()?;
+    for (i, line) in lines.iter().enumerate() {
+        let color = Palette99::pick(i).to_rgba();
+        let drawn =
+            chart.draw_series(LineSeries::new(line.points.clone(), color.stroke_width(2)))?;
+        drawn
+            .label(&line.name)
+            .legend(move |(x, y)| PathElement::new([(x, y), (x + 16, y)], color));
+        let dots = line.points.iter().map(|p| Circle::new(*p, 3, color.filled()));
+        chart.draw_series(dots)?;
+    }
+    chart.configure_series_labels().background_style(WHITE).border_style(BLACK).draw()?;
+    root.present()?;
+    println!("written: {}", path.display());
+    Ok(())
+}
+
+/// A straight line through points, by least squares.
+#[derive(Clone, Copy, Debug, serde::Serialize)]
+pub(crate) struct Fit {
+    pub(crate) intercept: f64,
+    pub(crate) slope: f64,
+    /// Root mean square of what the line misses.
+    pub(crate) error: f64,
+}
+
+/// Fits a line; one point gives a flat one.
+pub(crate) fn fit(points: &[(f64, f64)]) -> Fit {
+    let n = points.len().max(1) as f64;
+    let mean = |f: fn(&(f64, f64)) -> f64| points.iter().map(f).sum::<f64>() / n;
+    let (mx, my) = (mean(|p| p.0), mean(|p| p.1));
+    let spread: f64 = points.iter().map(|p| (p.0 - mx).powi(2)).sum();
+    let common: f64 = points.iter().map(|p| (p.0 - mx) * (p.1 - my)).sum();
+    let slope = if spread > 0.0 { common / spread } else { 0.0 };
+    let intercept = my - slope * mx;
+    let missed = points.iter().map(|p| (p.1 - intercept - slope * p.0).powi(2));
+    Fit { intercept, slope, error: (missed.sum::<f64>() / n).sqrt() }
+}
--- /dev/null
+++ b/lab/src/scale.rs
@@ -0,0 +1,528 @@
+//! Control cost and propagation at several sizes, on real processes.
+
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::thread::sleep;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use redwingfold::load::{Quantiles, proc_usage};
+use redwingfold_standins::fleet::key_of;
+use serde::Serialize;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+use crate::plot::{Fit, Line, fit, plot};
+use crate::report::{print_table, write_json};
+use crate::world::{DaemonPart, World, get, post, wait};
+
+/// Daemons for each entry.
+const DAEMONS_PER_ENTRY: usize = 13;
+
+/// Failure domains.
+const DOMAINS: usize = 8;
+
+/// Pools of sides.
+const POOLS: usize = 14;
+
+/// Stand-in engines; the sides share them, so that the daemons have the machine.
+const ENGINES: usize = 4;
+
+/// Changes a second: the users' target on average, and twenty times that.
+const RATES: [f64; 2] = [0.25, 5.0];
+
+/// What a role costs for control.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+struct Cost {
+    /// Part of a core, in percent.
+    cpu_mean: f64,
+    cpu_max: f64,
+    /// Resident memory, in MiB.
+    memory_mean: f64,
+    memory_max: f64,
+    /// Bytes of UDP payload a second, sent and received.
+    bytes_mean: f64,
+    bytes_max: f64,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Propagation {
+    rate: f64,
+    changes: usize,
+    in_force_ms: Quantiles,
+    missing: usize,
+    entry: Cost,
+    side: Cost,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct SizeResult {
+    daemons: usize,
+    entries: usize,
+    idle_entry: Cost,
+    idle_side: Cost,
+    log_appends_per_second: f64,
+    log_reads_per_second: f64,
+    propagation: Vec<Propagation>,
+    killed_ms: Quantiles,
+    frozen_ms: Quantiles,
+    leaving_ms: Quantiles,
+    restart_ms: f64,
+    restarted: usize,
+    restart_log_reads: u64,
+}
+
+/// Measures all sizes, prints tables, and writes them as JSON and SVG.
+pub(crate) fn scale(sizes: &[usize], seconds: f64, out: &Path) -> eyre::Result<bool> {
+    let mut results = Vec::new();
+    for size in sizes {
+        let begun = Instant::now();
+        let result = measure(*size, Duration::from_secs_f64(seconds))?;
+        println!("{size} daemons: {:.0} s", begun.elapsed().as_secs_f64());
+        results.push(result);
+    }
+    print(&results);
+    let fits = fits(&results);
+    for (name, fit) in &fits {
+        println!(
+            "{name}: {:.4} + {:.6} x daemons, error {:.4}",
+            fit.intercept, fit.slope, fit.error
+        );
+    }
+    write_json(out, "scale", &json!({"sizes": results, "fits": fits}))?;
+    draw(&results, out)?;
+    Ok(results.iter().all(|r| r.propagation.iter().all(|p| p.missing == 0)))
+}
+
+fn start(size: usize) -> eyre::Result<World> {
+    let entries = (size / DAEMONS_PER_ENTRY).max(2);
+    let mut names: Vec<_> = (0..entries).map(|n| format!("entry-{n}")).collect();
+    names.extend((0..size - entries).map(|n| format!("gpu-{n}")));
+    let mut world = World::start(&names)?;
+    let mut engines = Vec::new();
+    for n in 0..ENGINES {
+        let versions = "slip-1,slip-2";
+        let args = ["engine", "--versions", versions, "--slots", "64"];
+        engines.push(world.backend(&format!("engine-{n}"), &args)?);
+    }
+    for n in 0..size - entries {
+        let backend = json!([
+            {"name": "engine-0", "address": engines[n % ENGINES], "kind": "engine", "slots": 64},
+        ]);
+        let domain = format!("domain-{}", n % DOMAINS);
+        // The engines are shared by all sides and their reports are no part of control.
+        let queue = json!({"load_every_ms": 5_000});
+        let more = json!({"backends": backend, "queue": queue});
+        world.daemon("side", &format!("gpu-{n}"), &domain, &more)?;
+    }
+    for n in 0..entries {
+        let domain = format!("domain-{}", n % DOMAINS);
+        world.daemon("entry", &format!("entry-{n}"), &domain, &json!({}))?;
+    }
+    world.list_hosts_in_pools(POOLS)?;
+    world.publish_json(&objects(100))?;
+    world.wait_ready(1)?;
+    Ok(world)
+}
+
+fn objects(share: u64) -> Value {
+    let hash: String =
+        Sha256::digest(key_of("ani").as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
+    json!([
+        {"kind": "customer", "name": "ani", "spec": {"key_sha256": [hash]}},
+        {"kind": "model", "name": "slip", "spec": {"current": "slip-1"}},
+        {"kind": "version", "name": "slip-1", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
+        {"kind": "version", "name": "slip-2", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
+        {"kind": "rollout", "name": "up", "spec": {"model": "slip", "to": "slip-2", "share": share}},
+        {"kind": "grant", "name": "all", "spec": {"callers": "customer=ani", "versions": "model=slip"}},
+    ])
+}
+
+fn measure(size: usize, window: Duration) -> eyre::Result<SizeResult> {
+    let mut world = start(size)?;
+    let entries = world.daemons.iter().filter(|d| d.role == "entry").count();
+    // Connections, host lists and the first publication settle before anything is measured.
+    sleep(Duration::from_secs(5));
+    let log_before = get(world.log.addr, "/counts")?;
+    let idle = costs(&world, window, || Ok(()))?;
+    let log_after = get(world.log.addr, "/counts")?;
+    let per_second = |name: &str| {
+        let count = |v: &Value| v[name].as_u64().unwrap_or(0) as f64;
+        (count(&log_after) - count(&log_before)) / window.as_secs_f64()
+    };
+    let mut propagation = Vec::new();
+    for rate in RATES {
+        propagation.push(propagate(&world, rate, window)?);
+    }
+    let killed_ms = detect(&world, "gpu-0", |d| d.process.kill())?;
+    let frozen_ms = detect(&world, "gpu-1", |d| d.process.freeze())?;
+    let leaving_ms = detect(&world, "gpu-2", |d| d.process.term())?;
+    let (restart_ms, restarted, restart_log_reads) = restart(&mut world, size)?;
+    Ok(SizeResult {
+        daemons: size,
+        entries,
+        idle_entry: idle.0,
+        idle_side: idle.1,
+        log_appends_per_second: per_second("appends"),
+        log_reads_per_second: per_second("reads"),
+        propagation,
+        killed_ms,
+        frozen_ms,
+        leaving_ms,
+        restart_ms,
+        restarted,
+        restart_log_reads,
+    })
+}
+
+/// Reads what each daemon has used and sent.
+fn accounts(world: &World) -> eyre::Result<BTreeMap<String, (Duration, u64, f64)>> {
+    let output = world.ctl(&["status", "--json"])?;
+    let status: Vec<Value> = serde_json::from_slice(&output.stdout)?;
+    let bytes: BTreeMap<_, _> = status
+        .iter()
+        .map(|d| {
+            let count = |name: &str| d[name].as_u64().unwrap_or(0) as f64;
+            let host = d["host"].as_str().unwrap_or_default().to_owned();
+            (host, count("peer_bytes_sent") + count("peer_bytes_received"))
+        })
+        .collect();
+    let mut all = BTreeMap::new();
+    for daemon in &world.daemons {
+        let usage = proc_usage(daemon.process.id())?;
+        let bytes = bytes.get(&daemon.host).copied().unwrap_or(0.0);
+        all.insert(daemon.host.clone(), (usage.cpu, usage.resident, bytes));
+    }
+    Ok(all)
+}
+
+/// Measures what the daemons use while `work` and the rest of the window pass; entries, then sides.
+fn costs(
+    world: &World,
+    window: Duration,
+    work: impl FnOnce() -> eyre::Result<()>,
+) -> eyre::Result<(Cost, Cost)> {
+    let before = accounts(world)?;
+    let begun = Instant::now();
+    work()?;
+    sleep(window.saturating_sub(begun.elapsed()));
+    let seconds = begun.elapsed().as_secs_f64();
+    let after = accounts(world)?;
+    let of_role = |role: &str| {
+        let hosts = world.daemons.iter().filter(|d| d.role == role);
+        let rows: Vec<_> = hosts
+            .filter_map(|d| {
+                let (then, now) = (before.get(&d.host)?, after.get(&d.host)?);
+                let cpu = (now.0 - then.0).as_secs_f64() / seconds * 100.0;
+                Some((cpu, now.1 as f64 / 1_048_576.0, (now.2 - then.2) / seconds))
+            })
+            .collect();
+        let n = rows.len().max(1) as f64;
+        let mean = |f: fn(&(f64, f64, f64)) -> f64| rows.iter().map(f).sum::<f64>() / n;
+        let max = |f: fn(&(f64, f64, f64)) -> f64| rows.iter().map(f).fold(0.0, f64::max);
+        Cost {
+            cpu_mean: mean(|r| r.0),
+            cpu_max: max(|r| r.0),
+            memory_mean: mean(|r| r.1),
+            memory_max: max(|r| r.1),
+            bytes_mean: mean(|r| r.2),
+            bytes_max: max(|r| r.2),
+        }
+    };
+    Ok((of_role("entry"), of_role("side")))
+}
+
+fn now_ms() -> f64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).map_or(0.0, |d| d.as_secs_f64() * 1000.0)
+}
+
+/// Reads the time of day from a log line, in milliseconds since midnight.
+fn line_ms(line: &str) -> Option<f64> {
+    let time = line.split('T').nth(1)?;
+    let mut parts = time.get(..12)?.split([':', '.']);
+    let mut next = || parts.next()?.parse::<f64>().ok();
+    let (hours, minutes, seconds, millis) = (next()?, next()?, next()?, next()?);
+    Some(((hours * 60.0 + minutes) * 60.0 + seconds) * 1000.0 + millis)
+}
+
+const DAY_MS: f64 = 86_400_000.0;
+
+/// Returns how long after `from_ms` a line was logged.
+fn after(from_ms: f64, line: &str) -> Option<f64> {
+    let since = (line_ms(line)? - from_ms.rem_euclid(DAY_MS)).rem_euclid(DAY_MS);
+    // Log times are cut to the millisecond, so that a line can seem to come before its cause.
+    Some(if since > DAY_MS / 2.0 { 0.0 } else { since })
+}
+
+fn millis(values: &[f64]) -> Quantiles {
+    Quantiles::of(values.iter().map(|ms| Duration::from_secs_f64(ms.max(0.0) / 1000.0)))
+}
+
+/// Appends changes at a rate and reads from the daemons' logs when each had them in force.
+fn propagate(world: &World, rate: f64, window: Duration) -> eyre::Result<Propagation> {
+    let changes = ((rate * window.as_secs_f64()) as usize).max(4);
+    let mut appended = Vec::new();
+    let mut revision = rollout_revision(world)?;
+    let work = || {
+        for n in 0..changes {
+            let record = change(n as u64, revision);
+            let at = now_ms();
+            let answer = post(world.log.addr, "/streams/config/append", &record)?;
+            revision = answer["offset"].as_u64().unwrap_or(0);
+            appended.push((revision, at));
+            sleep(Duration::from_secs_f64(1.0 / rate));
+        }
+        Ok(())
+    };
+    let (entry, side) = costs(world, window, work)?;
+    sleep(Duration::from_secs(4));
+    let (mut times, mut missing) = (Vec::new(), 0);
+    for daemon in &world.daemons {
+        let lines = daemon.process.lines();
+        for (offset, at) in &appended {
+            // A daemon that took several records at once logs the last of them.
+            let has = |line: &&String| offset_of(line).is_some_and(|o| o >= *offset);
+            match lines.iter().find(has).and_then(|line| after(*at, line)) {
+                Some(ms) => times.push(ms),
+                None => missing += 1,
+            }
+        }
+    }
+    Ok(Propagation { rate, changes, in_force_ms: millis(&times), missing, entry, side })
+}
+
+fn offset_of(line: &str) -> Option<u64> {
+    let rest = line.split("event=config_in_force offset=").nth(1)?;
+    rest.split(' ').next()?.parse().ok()
+}
+
+fn rollout_revision(world: &World) -> eyre::Result<u64> {
+    let output = world.ctl(&["show", "rollout/up"])?;
+    let stored: Value = serde_json::from_slice(&output.stdout)?;
+    Ok(stored["revision"].as_u64().unwrap_or(0))
+}
+
+fn change(n: u64, revision: u64) -> Value {
+    let share = n % 1000;
+    let id = format!("{:016x}{n:016x}", now_ms() as u64);
+    json!({
+        "type": "change", "id": id, "author": "lab", "reason": "a step of the roll-out", "at": 0,
+        "expects": {"rollout/up": revision},
+        "put": [{"kind": "rollout", "name": "up", "spec": {"model": "slip", "to": "slip-2", "share": share}}],
+    })
+}
+
+/// Does something to a side and returns when the entries that were connected to it noticed.
+fn detect(world: &World, host: &str, act: impl FnOnce(&DaemonPart)) -> eyre::Result<Quantiles> {
+    let Some(side) = world.daemons.iter().find(|d| d.host == host) else {
+        eyre::bail!("no host {host}");
+    };
+    let entries: Vec<_> = world.daemons.iter().filter(|d| d.role == "entry").collect();
+    let connected = format!("event=side_connected host={host} ");
+    let of: Vec<_> = entries.iter().filter(|e| e.process.count(&connected) > 0).collect();
+    let seen = |e: &DaemonPart| {
+        let noticed = ["side_suspected", "side_leaving", "side_gone"];
+        let lines = e.process.lines();
+        let mine = |l: &&String| {
+            l.contains(&format!("host={host}")) && noticed.iter().any(|n| l.contains(n))
+        };
+        lines.iter().filter(mine).map(String::clone).collect::<Vec<_>>()
+    };
+    let before: Vec<_> = of.iter().map(|e| seen(e).len()).collect();
+    let at = now_ms();
+    act(side);
+    wait(|| of.iter().zip(&before).all(|(e, n)| seen(e).len() > *n))?;
+    let times: Vec<_> =
+        of.iter().zip(&before).filter_map(|(e, n)| after(at, &seen(e)[*n])).collect();
+    Ok(millis(&times))
+}
+
+/// Kills and starts anew a tenth of the daemons, all at once; returns how long it took until they
+/// were in force and connected again, how many they were, and the reads that the log served.
+fn restart(world: &mut World, size: usize) -> eyre::Result<(f64, usize, u64)> {
+    let hosts: Vec<_> = world
+        .daemons
+        .iter()
+        .filter(|d| d.role == "side" && !["gpu-0", "gpu-1", "gpu-2"].contains(&d.host.as_str()))
+        .take((size / 10).max(1))
+        .map(|d| (d.host.clone(), d.domain.clone()))
+        .collect();
+    let reads = || -> eyre::Result<u64> {
+        Ok(get(world.log.addr, "/counts")?["reads"].as_u64().unwrap_or(0))
+    };
+    let before = reads()?;
+    for daemon in world.daemons.iter().filter(|d| hosts.iter().any(|(h, _)| *h == d.host)) {
+        daemon.process.kill();
+    }
+    let at = Instant::now();
+    let engine = world.backends[0].addr;
+    for (host, domain) in &hosts {
+        let backend = json!([{"name": "engine-0", "address": engine, "kind": "engine"}]);
+        let queue = json!({"load_every_ms": 5_000});
+        world.daemon("side", host, domain, &json!({"backends": backend, "queue": queue}))?;
+    }
+    world.list_hosts_in_pools(POOLS)?;
+    let is_back = |host: &str| {
+        let daemon = world.daemons.iter().find(|d| d.host == host);
+        daemon.is_some_and(|d| {
+            d.process.count("event=config_in_force") > 0
+                && d.process.count("event=peer_connected") > 0
+        })
+    };
+    wait(|| hosts.iter().all(|(host, _)| is_back(host)))?;
+    let took = at.elapsed().as_secs_f64() * 1000.0;
+    let after = get(world.log.addr, "/counts")?["reads"].as_u64().unwrap_or(0);
+    Ok((took, hosts.len(), after - before))
+}
+
+fn print(results: &[SizeResult]) {
+    let cost = |c: &Cost| {
+        vec![
+            format!("{:.2} / {:.2}", c.cpu_mean, c.cpu_max),
+            format!("{:.1} / {:.1}", c.memory_mean, c.memory_max),
+            format!("{:.0} / {:.0}", c.bytes_mean, c.bytes_max),
+        ]
+    };
+    let head = [
+        "daemons",
+        "entries",
+        "entry core % mean/max",
+        "MiB",
+        "bytes/s",
+        "side core %",
+        "MiB",
+        "bytes/s",
+        "log appends/s",
+        "log reads/s",
+    ];
+    let rows: Vec<_> = results
+        .iter()
+        .map(|r| {
+            let mut row = vec![r.daemons.to_string(), r.entries.to_string()];
+            row.extend(cost(&r.idle_entry));
+            row.extend(cost(&r.idle_side));
+            row.push(format!("{:.2}", r.log_appends_per_second));
+            row.push(format!("{:.2}", r.log_reads_per_second));
+            row
+        })
+        .collect();
+    println!("idle");
+    print_table(&head, &rows);
+    let head = [
+        "daemons",
+        "changes/s",
+        "changes",
+        "in force p50",
+        "p99",
+        "max",
+        "missing",
+        "entry core %",
+        "entry bytes/s",
+        "side core %",
+        "side bytes/s",
+    ];
+    let rows: Vec<_> = results
+        .iter()
+        .flat_map(|r| r.propagation.iter().map(move |p| (r.daemons, p)))
+        .map(|(daemons, p)| {
+            vec![
+                daemons.to_string(),
+                p.rate.to_string(),
+                p.changes.to_string(),
+                format!("{:.0} ms", p.in_force_ms.p50),
+                format!("{:.0} ms", p.in_force_ms.p99),
+                format!("{:.0} ms", p.in_force_ms.max),
+                p.missing.to_string(),
+                format!("{:.2} / {:.2}", p.entry.cpu_mean, p.entry.cpu_max),
+                format!("{:.0} / {:.0}", p.entry.bytes_mean, p.entry.bytes_max),
+                format!("{:.2} / {:.2}", p.side.cpu_mean, p.side.cpu_max),
+                format!("{:.0} / {:.0}", p.side.bytes_mean, p.side.bytes_max),
+            ]
+        })
+        .collect();
+    println!("changes");
+    print_table(&head, &rows);
+    let head = [
+        "daemons",
+        "killed max",
+        "frozen max",
+        "leaving max",
+        "restarted",
+        "back after",
+        "log reads",
+    ];
+    let rows: Vec<_> = results
+        .iter()
+        .map(|r| {
+            vec![
+                r.daemons.to_string(),
+                format!("{:.0} ms", r.killed_ms.max),
+                format!("{:.0} ms", r.frozen_ms.max),
+                format!("{:.0} ms", r.leaving_ms.max),
+                r.restarted.to_string(),
+                format!("{:.0} ms", r.restart_ms),
+                r.restart_log_reads.to_string(),
+            ]
+        })
+        .collect();
+    println!("hosts");
+    print_table(&head, &rows);
+}
+
+fn series(results: &[SizeResult], f: impl Fn(&SizeResult) -> f64) -> Vec<(f64, f64)> {
+    results.iter().map(|r| (r.daemons as f64, f(r))).collect()
+}
+
+fn fits(results: &[SizeResult]) -> BTreeMap<String, Fit> {
+    let mut fits = BTreeMap::new();
+    let mut add = |name: &str, f: &dyn Fn(&SizeResult) -> f64| {
+        fits.insert(name.to_owned(), fit(&series(results, f)));
+    };
+    add("idle entry core %", &|r| r.idle_entry.cpu_mean);
+    add("idle side core %", &|r| r.idle_side.cpu_mean);
+    add("idle entry bytes/s", &|r| r.idle_entry.bytes_mean);
+    add("idle side bytes/s", &|r| r.idle_side.bytes_mean);
+    add("idle entry MiB", &|r| r.idle_entry.memory_mean);
+    add("idle side MiB", &|r| r.idle_side.memory_mean);
+    add("log reads/s", &|r| r.log_reads_per_second);
+    add("in force p99 ms at 0.25/s", &|r| r.propagation[0].in_force_ms.p99);
+    add("in force p99 ms at 5/s", &|r| r.propagation[1].in_force_ms.p99);
+    add("entry core % at 0.25/s", &|r| r.propagation[0].entry.cpu_mean);
+    add("entry bytes/s at 0.25/s", &|r| r.propagation[0].entry.bytes_mean);
+    add("side bytes/s at 0.25/s", &|r| r.propagation[0].side.bytes_mean);
+    add("entry bytes/s at 5/s", &|r| r.propagation[1].entry.bytes_mean);
+    add("side core % at 0.25/s", &|r| r.propagation[0].side.cpu_mean);
+    fits
+}
+
+fn draw(results: &[SizeResult], out: &Path) -> eyre::Result<()> {
+    let line = |name: &str, f: &dyn Fn(&SizeResult) -> f64| Line {
+        name: name.to_owned(),
+        points: series(results, f),
+    };
+    plot(
+        &out.join("scale-bytes.svg"),
+        "Control bytes of a daemon when idle",
+        "daemons",
+        "bytes/s",
+        &[line("entry", &|r| r.idle_entry.bytes_mean), line("side", &|r| r.idle_side.bytes_mean)],
+    )?;
+    plot(
+        &out.join("scale-cpu.svg"),
+        "Processor time of a daemon when idle",
+        "daemons",
+        "% of a core",
+        &[line("entry", &|r| r.idle_entry.cpu_mean), line("side", &|r| r.idle_side.cpu_mean)],
+    )?;
+    plot(
+        &out.join("scale-in-force.svg"),
+        "Until a change is in force",
+        "daemons",
+        "ms",
+        &[
+            line("p50 at 0.25/s", &|r| r.propagation[0].in_force_ms.p50),
+            line("p99 at 0.25/s", &|r| r.propagation[0].in_force_ms.p99),
+            line("p50 at 5/s", &|r| r.propagation[1].in_force_ms.p50),
+            line("p99 at 5/s", &|r| r.propagation[1].in_force_ms.p99),
+        ],
+    )
+}
--- a/lab/src/world.rs
+++ b/lab/src/world.rs
@@ -148,13 +148,22 @@
 
     /// Lists all daemons as live.
     pub(crate) fn list_hosts(&self) -> eyre::Result<()> {
+        self.list_hosts_in_pools(1)
+    }
+
+    /// Lists all daemons as live, the sides dealt out over pools.
+    pub(crate) fn list_hosts_in_pools(&self, pools: usize) -> eyre::Result<()> {
+        let pool_of = |host: &str| {
+            let number = host.rsplit('-').next().and_then(|n| n.parse::<usize>().ok());
+            format!("pool-{}", number.unwrap_or(0) % pools)
+        };
         let hosts: Vec<_> = self
             .daemons
             .iter()
             .map(|d| {
                 json!({
                     "host": d.host, "address": d.peer, "failure_domain": d.domain,
-                    "role": d.role, "state": "live",
+                    "role": d.role, "state": "live", "pool": pool_of(&d.host),
                 })
             })
             .collect();
--- a/src/daemon.rs
+++ b/src/daemon.rs
@@ -1,6 +1,7 @@
 //! What every daemon has: who it is, the configuration, and the platform's services.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
 
 use arc_swap::ArcSwap;
 use event_listener::{Event, EventListener};
@@ -31,6 +32,14 @@
     pub(crate) heartbeat: HeartbeatSettings,
     pub(crate) http: Client,
     pub(crate) hosts: HostView,
+    pub(crate) traffic: PeerTraffic,
+}
+
+/// Bytes of UDP payload on the connections to peers.
+#[derive(Debug, Default)]
+pub(crate) struct PeerTraffic {
+    pub(crate) sent: AtomicU64,
+    pub(crate) received: AtomicU64,
 }
 
 /// The newest host list, and a signal when it changes.
@@ -81,6 +90,7 @@
             heartbeat,
             http: Client::default(),
             hosts: HostView::default(),
+            traffic: PeerTraffic::default(),
             telemetry,
         }
     }
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -8,6 +8,7 @@
 use super::answer::Failed;
 use super::context::Entry;
 use super::sides::SideLink;
+use crate::peer::CallCount;
 use crate::wire::{
     Call, CallHead, FrameReader, FrameWriter, RunCall, RunEnd, RunFrame, RunHead, WireError,
 };
@@ -35,6 +36,7 @@
     entry: Arc<Entry>,
     hash: Xxh3,
     length: u64,
+    _count: CallCount,
 }
 
 /// The next part of an answer.
@@ -51,6 +53,7 @@
 ) -> Result<(RunHead, Answering), AttemptFailed> {
     let head = call.head;
     link.note_sent(&call.backend);
+    let count = link.link.begin_call();
     let unsent = |e: String| Failed::new(ErrorKind::NoBackend, e);
     // Opening a stream sends nothing, so a failure here means that nothing has run.
     let (send, recv) = link.conn.open_bi().await.map_err(|e| unsent(e.to_string()))?;
@@ -64,6 +67,7 @@
         entry: entry.clone(),
         hash: Xxh3::new(),
         length: 0,
+        _count: count,
     };
     let given_up = async {
         link.given_up(&entry.daemon).await;
--- a/src/entry/sides.rs
+++ b/src/entry/sides.rs
@@ -6,7 +6,7 @@
 
 use quinn::{Connection, Endpoint, VarInt};
 use redwingfold_core::{Bill, Health, KeyHash, PinKey};
-use redwingfold_core::{HostId, Incarnation, Member, Millis, pin_holders, rank, subset};
+use redwingfold_core::{HostId, Incarnation, Member, Millis, pin_holders, rank, sides_of_entry};
 use smol::Timer;
 
 use super::context::Entry;
@@ -191,12 +191,15 @@
 
 fn wanted_sides(entry: &Arc<Entry>, hosts: &[HostRecord]) -> BTreeSet<HostId> {
     let peers = &entry.settings.peers;
-    let live = hosts.iter().filter(|h| h.is_side() && h.state == HostState::Live);
-    let members: Vec<_> = live.map(HostRecord::member).collect();
+    let live = || hosts.iter().filter(|h| h.state == HostState::Live);
+    let sides: Vec<_> = live().filter(|h| h.is_side()).map(HostRecord::pooled).collect();
+    let entries: Vec<_> = live().filter(|h| !h.is_side()).map(HostRecord::member).collect();
+    let members: Vec<_> = sides.iter().map(|side| side.member.clone()).collect();
     let keepers: Vec<_> =
         rank(KEEPER_SEED, &members).into_iter().take(peers.keepers).cloned().collect();
-    let own = subset(&entry.daemon.host, &members, peers.max_sides);
-    let wanted = own.into_iter().chain(&keepers).map(|m| m.host.clone()).collect();
+    let own = &entry.daemon.host;
+    let mut wanted = sides_of_entry(own, &entries, &sides, peers.fan_in, peers.per_pool);
+    wanted.extend(keepers.iter().map(|m| m.host.clone()));
     let mut held = entry.sides.keepers.lock().unwrap_or_else(PoisonError::into_inner);
     if **held != keepers {
         *held = Arc::new(keepers);
@@ -301,7 +304,8 @@
     };
     let peer = link.host.to_string();
     let run = async {
-        let why = run_control(&entry.daemon, &link.link, &peer, tx, rx, &events).await;
+        let why =
+            run_control(&entry.daemon, &link.link, (&peer, &link.conn), tx, rx, &events).await;
         entry.daemon.telemetry.info("side_gone", &[("host", &link.host), ("why", &why)]);
     };
     let unneeded = async {
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -1,5 +1,6 @@
 //! Starting and stopping an entry, and the paths that it serves.
 
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, PoisonError};
 
 use quinn::{Connection, VarInt};
@@ -152,6 +153,8 @@
         "running": entry.under_way(),
         "unconfirmed_bills": entry.bills.len(),
         "sides": entry.sides.all().iter().map(|l| l.host.to_string()).collect::<Vec<_>>(),
+        "peer_bytes_sent": entry.daemon.traffic.sent.load(Ordering::Relaxed),
+        "peer_bytes_received": entry.daemon.traffic.received.load(Ordering::Relaxed),
         "at": wall(),
     });
     serde_json::to_vec(&value).unwrap_or_default()
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -5,5 +5,5 @@
 mod serve;
 
 pub(crate) use connect::{Connected, call, connect, dial};
-pub(crate) use control::{Link, LinkEvents, run_control};
+pub(crate) use control::{CallCount, Link, LinkEvents, run_control};
 pub(crate) use serve::{bind, serve};
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use redwingfold_core::{FailureDomain, HostId, Member, Millis};
+use redwingfold_core::{FailureDomain, HostId, Member, Millis, PooledSide};
 use redwingfold_http::{Client, Method};
 use serde::Deserialize;
 
@@ -27,6 +27,9 @@
     pub(crate) failure_domain: FailureDomain,
     pub(crate) role: String,
     pub(crate) state: HostState,
+    /// Pool of backend servers; one for all if the platform names none.
+    #[serde(default)]
+    pub(crate) pool: String,
 }
 
 impl HostRecord {
@@ -34,6 +37,10 @@
         self.role == "side"
     }
 
+    pub(crate) fn pooled(&self) -> PooledSide {
+        PooledSide { member: self.member(), pool: self.pool.clone() }
+    }
+
     pub(crate) fn member(&self) -> Member {
         Member { host: self.host.clone(), domain: self.failure_domain.clone() }
     }
--- a/src/settings/common.rs
+++ b/src/settings/common.rs
@@ -98,8 +98,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
 pub struct HeartbeatSettings {
-    /// Time between heartbeats where nothing else is sent.
+    /// Time between heartbeats while answers are awaited, and the time that one may take.
     pub interval_ms: Millis,
+    /// Time between heartbeats while nothing is awaited.
+    pub idle_interval_ms: Millis,
     /// Heartbeats missed before new work goes elsewhere.
     pub misses: u32,
     /// Heartbeats missed before the connection is given up.
@@ -110,14 +112,25 @@
 
 impl Default for HeartbeatSettings {
     fn default() -> Self {
-        Self { interval_ms: Millis(500), misses: 1, dead_misses: 6, report_bytes_per_second: 4_000 }
+        Self {
+            interval_ms: Millis(500),
+            idle_interval_ms: Millis(3_000),
+            misses: 1,
+            dead_misses: 6,
+            report_bytes_per_second: 4_000,
+        }
     }
 }
 
 impl HeartbeatSettings {
     /// Returns the policy of the failure detector.
     pub fn policy(&self) -> Policy {
-        Policy { interval: self.interval_ms, misses: self.misses, dead_misses: self.dead_misses }
+        Policy {
+            interval: self.interval_ms,
+            idle_interval: self.idle_interval_ms,
+            misses: self.misses,
+            dead_misses: self.dead_misses,
+        }
     }
 }
 
@@ -125,8 +138,10 @@
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
 pub struct PeerSettings {
-    /// Sides that an entry sends work to.
-    pub max_sides: usize,
+    /// Entries that each side is connected to.
+    pub fan_in: usize,
+    /// Sides of each pool that an entry is connected to at least.
+    pub per_pool: usize,
     /// Sides, the same for all entries, among which the holders of sessions are chosen.
     pub keepers: usize,
     /// Longest wait for a connection.
@@ -138,8 +153,9 @@
 impl Default for PeerSettings {
     fn default() -> Self {
         Self {
-            max_sides: 24,
-            keepers: 12,
+            fan_in: 2,
+            per_pool: 2,
+            keepers: 8,
             connect_timeout_ms: Millis(1_000),
             max_backoff_ms: Millis(5_000),
         }
--- a/src/side/requests.rs
+++ b/src/side/requests.rs
@@ -1,5 +1,7 @@
 //! Calls to a side that are not runs.
 
+use std::sync::atomic::Ordering;
+
 use redwingfold_core::{Bill, CallState, Claim, ErrorKind, KeyHash, Millis};
 
 use super::context::Side;
@@ -84,6 +86,8 @@
         "running": side.running(),
         "unconfirmed_bills": side.bills.len(),
         "pins": side.pins().len(),
+        "peer_bytes_sent": side.daemon.traffic.sent.load(Ordering::Relaxed),
+        "peer_bytes_received": side.daemon.traffic.received.load(Ordering::Relaxed),
         "at": wall(),
         "backends": loads.map(|l| serde_json::json!({
             "name": l.backend,
--- a/src/side/start.rs
+++ b/src/side/start.rs
@@ -137,7 +137,7 @@
     };
     let peer = peer_name(&hello.host, conn);
     side.daemon.telemetry.info("peer_connected", &[("peer", &peer)]);
-    let ended = run_control(&side.daemon, &link, &peer, tx, rx, &events).await;
+    let ended = run_control(&side.daemon, &link, (&peer, conn), tx, rx, &events).await;
     side.daemon.telemetry.info("peer_gone", &[("peer", &peer), ("why", &ended)]);
 }
 
--- a/standins/src/fleet/launch.rs
+++ b/standins/src/fleet/launch.rs
@@ -317,6 +317,7 @@
                 failure_domain: domain.expect("domain"),
                 role: if daemon.listen.is_some() { "entry" } else { "side" }.to_owned(),
                 state: "live".to_owned(),
+                pool: String::new(),
             }
         });
         self.hosts.set(hosts.collect(), lag);
--- a/standins/src/host_list.rs
+++ b/standins/src/host_list.rs
@@ -24,6 +24,9 @@
     pub role: String,
     /// `live` or `leaving`.
     pub state: String,
+    /// Pool of backend servers that a side belongs to.
+    #[serde(default)]
+    pub pool: String,
 }
 
 #[derive(Clone, Debug, Deserialize, Serialize)]
