--- a/lab/src/args.rs
+++ b/lab/src/args.rs
@@ -4,7 +4,7 @@
 
 use clap::{Parser, Subcommand};
 
-use crate::{overhead, quickstart, scale};
+use crate::{detect, overhead, quickstart, scale};
 
 /// The quickstart and the experiments.
 #[derive(Debug, Parser)]
@@ -17,6 +17,18 @@
 
 #[derive(Debug, Subcommand)]
 enum Command {
+    /// Acting at the first missed heartbeat, against waiting for three.
+    Detect {
+        /// Seconds of each count of false alarms.
+        #[arg(long, default_value_t = 20.0)]
+        seconds: f64,
+        /// Rounds of silence.
+        #[arg(long, default_value_t = 3)]
+        rounds: usize,
+        /// Folder for the results.
+        #[arg(long, default_value = "results")]
+        out: PathBuf,
+    },
     /// Time that the router adds to a direct call of an engine, and what a core carries.
     Overhead {
         /// Seconds of each of the loads.
@@ -56,6 +68,7 @@
 /// What could not be started or written.
 pub fn run(args: LabArgs) -> eyre::Result<bool> {
     match args.command {
+        Command::Detect { seconds, rounds, out } => detect::detect(seconds, rounds, &out),
         Command::Overhead { seconds, out } => overhead::overhead(seconds, &out),
         Command::Scale { sizes, seconds, out } => scale::scale(&sizes, seconds, &out),
         Command::Quickstart { once, examples } => quickstart::quickstart(once, &examples),
--- /dev/null
+++ b/lab/src/detect.rs
@@ -0,0 +1,187 @@
+//! Acting at the first missed heartbeat, against waiting for three.
+
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::{JoinHandle, sleep};
+use std::time::{Duration, Instant};
+
+use redwingfold::load::{Load, Pace, Sample, Shape, drive};
+use redwingfold_standins::UdpProxy;
+use redwingfold_standins::fleet::key_of;
+use serde::Serialize;
+use serde_json::json;
+
+use crate::objects::one_model;
+use crate::report::{print_table, write_json};
+use crate::world::{World, post};
+
+const SIDES: usize = 4;
+
+/// Requests a second of the load.
+const RATE: f64 = 200.0;
+
+/// A request that took longer met the silence: without it none takes a fifth of that.
+const SLOW: Duration = Duration::from_millis(250);
+
+/// Processor use of the machine at which false alarms are counted, in percent.
+const BUSY: [u64; 3] = [0, 60, 90];
+
+#[derive(Clone, Debug, Serialize)]
+struct Row {
+    misses: u32,
+    /// Requests that were sent into the silence, by round.
+    slow: Vec<usize>,
+    failed: Vec<usize>,
+    /// The longest of them, in milliseconds.
+    longest_ms: f64,
+    /// Suspicions without cause, by processor use of the machine.
+    false_alarms: Vec<usize>,
+    /// Heartbeats sent, by processor use of the machine, all connections together.
+    seconds: f64,
+}
+
+/// Measures both policies in turns, prints a table and writes it as JSON.
+pub(crate) fn detect(seconds: f64, rounds: usize, out: &Path) -> eyre::Result<bool> {
+    let mut rows = Vec::new();
+    for misses in [1, 3] {
+        rows.push(measure(misses, Duration::from_secs_f64(seconds), rounds)?);
+    }
+    let head = [
+        "misses",
+        "slow requests a round",
+        "failed",
+        "longest",
+        "false alarms idle",
+        "at 60%",
+        "at 90%",
+    ];
+    let cells: Vec<_> = rows
+        .iter()
+        .map(|r| {
+            vec![
+                r.misses.to_string(),
+                format!("{:?}", r.slow),
+                format!("{:?}", r.failed),
+                format!("{:.0} ms", r.longest_ms),
+                r.false_alarms[0].to_string(),
+                r.false_alarms[1].to_string(),
+                r.false_alarms[2].to_string(),
+            ]
+        })
+        .collect();
+    print_table(&head, &cells);
+    write_json(out, "detect", &json!({"rows": rows, "rate": RATE}))?;
+    Ok(true)
+}
+
+fn measure(misses: u32, window: Duration, rounds: usize) -> eyre::Result<Row> {
+    let mut names = vec!["entry-1".to_owned()];
+    names.extend((0..SIDES).map(|n| format!("gpu-{n}")));
+    let mut world = World::start(&names)?;
+    for n in 0..SIDES {
+        let args = ["engine", "--versions", "slip-1", "--slots", "64"];
+        let engine = world.backend(&format!("engine-{n}"), &args)?;
+        let backend =
+            json!([{"name": "engine-0", "address": engine, "kind": "engine", "slots": 64}]);
+        let domain = format!("hall-{n}");
+        world.daemon("side", &format!("gpu-{n}"), &domain, &json!({"backends": backend}))?;
+    }
+    let more = json!({
+        "heartbeat": {"misses": misses, "dead_misses": 6},
+        "retry": {"budget_per_mille": 500, "budget_max": 500},
+    });
+    world.daemon("entry", "entry-1", "hall-0", &more)?;
+    let silenced = world.daemons.iter_mut().find(|d| d.host == "gpu-0");
+    let Some(side) = silenced else { eyre::bail!("no gpu-0") };
+    let proxy = UdpProxy::start(side.peer)?;
+    side.peer = proxy.addr;
+    world.list_hosts()?;
+    world.publish_json(&one_model())?;
+    world.wait_ready(SIDES)?;
+    sleep(Duration::from_secs(2));
+    let (mut slow, mut failed, mut longest) = (Vec::new(), Vec::new(), Duration::ZERO);
+    for round in 0..rounds {
+        let load = load(&world, round as u64, Duration::from_secs(6))?;
+        let driving = std::thread::spawn(move || smol::block_on(drive(&load)));
+        sleep(Duration::from_secs(2));
+        proxy.silence_flows();
+        let samples = driving.join().map_err(|_| eyre::eyre!("the load broke off"))?;
+        let is_slow = |s: &&Sample| s.whole > SLOW;
+        slow.push(samples.iter().filter(is_slow).count());
+        failed.push(samples.iter().filter(|s| !s.is_whole).count());
+        longest = samples.iter().map(|s| s.whole).fold(longest, Duration::max);
+    }
+    let mut false_alarms = Vec::new();
+    for percent in BUSY {
+        let entry = world.daemons.iter().find(|d| d.role == "entry");
+        let suspected = || entry.map_or(0, |e| e.process.count("event=side_suspected"));
+        let before = suspected();
+        let burning = burn(percent);
+        let load = load(&world, 100 + percent, window)?;
+        smol::block_on(drive(&load));
+        burning.stop();
+        false_alarms.push(suspected() - before);
+    }
+    Ok(Row {
+        misses,
+        slow,
+        failed,
+        longest_ms: longest.as_secs_f64() * 1000.0,
+        false_alarms,
+        seconds: window.as_secs_f64(),
+    })
+}
+
+fn load(world: &World, seed: u64, duration: Duration) -> eyre::Result<Load> {
+    let shape = Shape {
+        model: "slip".to_owned(),
+        key: Some(key_of("ani")),
+        prompt_chars: 200,
+        prefixes: 64,
+        tokens: 8,
+        stream: false,
+        headers: Vec::new(),
+    };
+    // The engines' histories would grow for the whole trial.
+    for backend in &world.backends {
+        post(backend.addr, "/forget", &json!({}))?;
+    }
+    Ok(Load { addr: world.entry()?, shape, pace: Pace::Rate(RATE), duration, seed })
+}
+
+/// Threads that take a part of every core.
+struct Burning {
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Burning {
+    fn stop(self) {
+        self.stop.store(true, Ordering::Relaxed);
+        for thread in self.threads {
+            thread.join().ok();
+        }
+    }
+}
+
+fn burn(percent: u64) -> Burning {
+    const SLICE: Duration = Duration::from_millis(10);
+    let cores = std::thread::available_parallelism().map_or(1, usize::from);
+    let stop = Arc::new(AtomicBool::new(percent == 0));
+    let busy = SLICE * percent as u32 / 100;
+    let threads = (0..cores).map(|_| {
+        let stop = stop.clone();
+        std::thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                let begun = Instant::now();
+                while begun.elapsed() < busy {
+                    std::hint::spin_loop();
+                }
+                sleep(SLICE.saturating_sub(busy));
+            }
+        })
+    });
+    let threads = threads.collect();
+    Burning { stop, threads }
+}
--- /dev/null
+++ b/lab/src/objects.rs
@@ -0,0 +1,27 @@
+//! Configurations of the experiments.
+
+use redwingfold_standins::fleet::key_of;
+use serde_json::{Value, json};
+use sha2::{Digest, Sha256};
+
+/// Returns the hash of a customer's key.
+pub(crate) fn sha256_of(customer: &str) -> String {
+    Sha256::digest(key_of(customer).as_bytes()).iter().map(|b| format!("{b:02x}")).collect()
+}
+
+/// Returns one customer, `ani`, and one model, `slip`, with one version.
+pub(crate) fn one_model() -> Value {
+    json!([
+        {"kind": "customer", "name": "ani", "spec": {"key_sha256": [sha256_of("ani")]}},
+        {"kind": "model", "name": "slip", "spec": {"current": "slip-1"}},
+        {"kind": "version", "name": "slip-1", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
+        {"kind": "grant", "name": "all", "spec": {"callers": "customer=ani", "versions": "model in (slip|slow)"}},
+    ])
+}
+
+/// Returns [`one_model`] and what `more` adds.
+pub(crate) fn one_model_and(more: &[Value]) -> Value {
+    let mut objects = one_model().as_array().cloned().unwrap_or_default();
+    objects.extend_from_slice(more);
+    Value::from(objects)
+}
--- a/lab/src/overhead.rs
+++ b/lab/src/overhead.rs
@@ -8,8 +8,8 @@
 use redwingfold_standins::fleet::key_of;
 use serde::Serialize;
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 
+use crate::objects::one_model_and;
 use crate::report::{print_table, write_json};
 use crate::world::World;
 
@@ -83,15 +83,10 @@
 }
 
 fn objects() -> Value {
-    let hash: String =
-        Sha256::digest(key_of("ani").as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
-    json!([
-        {"kind": "customer", "name": "ani", "spec": {"key_sha256": [hash]}},
-        {"kind": "model", "name": "slip", "spec": {"current": "slip-1"}},
-        {"kind": "version", "name": "slip-1", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
-        {"kind": "model", "name": "slow", "spec": {"current": "slow-1"}},
-        {"kind": "version", "name": "slow-1", "spec": {"model": "slow", "cost_per_ktok": 1, "quality": 900}},
-        {"kind": "grant", "name": "all", "spec": {"callers": "customer=ani", "versions": "model in (slip|slow)"}},
+    let version = json!({"model": "slow", "cost_per_ktok": 1, "quality": 900});
+    one_model_and(&[
+        json!({"kind": "model", "name": "slow", "spec": {"current": "slow-1"}}),
+        json!({"kind": "version", "name": "slow-1", "spec": version}),
     ])
 }
 
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -6,11 +6,10 @@
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use redwingfold::load::{Quantiles, proc_usage};
-use redwingfold_standins::fleet::key_of;
 use serde::Serialize;
 use serde_json::{Value, json};
-use sha2::{Digest, Sha256};
 
+use crate::objects::one_model_and;
 use crate::plot::{Fit, Line, fit, plot};
 use crate::report::{print_table, write_json};
 use crate::world::{DaemonPart, World, get, post, wait};
@@ -125,15 +124,11 @@
 }
 
 fn objects(share: u64) -> Value {
-    let hash: String =
-        Sha256::digest(key_of("ani").as_bytes()).iter().map(|b| format!("{b:02x}")).collect();
-    json!([
-        {"kind": "customer", "name": "ani", "spec": {"key_sha256": [hash]}},
-        {"kind": "model", "name": "slip", "spec": {"current": "slip-1"}},
-        {"kind": "version", "name": "slip-1", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
-        {"kind": "version", "name": "slip-2", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}},
-        {"kind": "rollout", "name": "up", "spec": {"model": "slip", "to": "slip-2", "share": share}},
-        {"kind": "grant", "name": "all", "spec": {"callers": "customer=ani", "versions": "model=slip"}},
+    let version = json!({"model": "slip", "cost_per_ktok": 1, "quality": 900});
+    let rollout = json!({"model": "slip", "to": "slip-2", "share": share});
+    one_model_and(&[
+        json!({"kind": "version", "name": "slip-2", "spec": version}),
+        json!({"kind": "rollout", "name": "up", "spec": rollout}),
     ])
 }
 
--- a/standins/src/serve.rs
+++ b/standins/src/serve.rs
@@ -56,7 +56,7 @@
     serde_json::from_value(value).ok()
 }
 
-/// Answers `/history` and `/control`, which all stand-ins have; `None` for any other path.
+/// Answers `/history`, `/forget` and `/control`, which all stand-ins have; `None` for any other path.
 pub(crate) async fn control<T: DeserializeOwned + Serialize>(
     req: &mut Request,
     history: &History,
@@ -64,6 +64,10 @@
     set: impl FnOnce(T),
 ) -> Option<Response> {
     match req.url().path() {
+        "/forget" => {
+            history.clear();
+            Some(json(&serde_json::json!({})))
+        }
         "/history" => Some(json(&history.events())),
         "/control" => {
             let patch = body_json(req).await;
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -48,3 +48,39 @@
         parse("side.json", text, &SideSettings::example()).ok();
     });
 }
+
+/// Every error kind is on the callers' page with its status, run state and time to come back.
+#[test]
+fn the_api_page_has_every_error_kind() {
+    let page = include_str!("../docs/API.md");
+    for kind in redwingfold_core::ErrorKind::ALL {
+        let row = kind.row();
+        let after = row.retry_after.map_or("none".to_owned(), |ms| format!("{ms} ms"));
+        let line = format!("| {} | `{}` | `{}` | {after} |", row.status, row.code, row.run);
+        assert!(page.contains(&line), "docs/API.md lacks {line}");
+    }
+}
+
+/// Every metric in the code is on the metrics page.
+#[test]
+fn the_metrics_page_has_every_metric() {
+    let page = include_str!("../docs/METRICS.md");
+    let mut folders = vec![std::path::PathBuf::from("src")];
+    while let Some(folder) = folders.pop() {
+        for entry in std::fs::read_dir(folder).unwrap() {
+            let path = entry.unwrap().path();
+            match path.extension() {
+                None => folders.push(path),
+                Some(_) => {
+                    let code = std::fs::read_to_string(&path).unwrap();
+                    for call in [".count(\"", ".gauge(\"", ".time(\""] {
+                        for part in code.split(call).skip(1) {
+                            let name = part.split('"').next().unwrap();
+                            assert!(page.contains(&format!("`{name}`")), "{path:?}: {name}");
+                        }
+                    }
+                }
+            }
+        }
+    }
+}
