feat(side): order engines to load what placements say, fenced and in turn

Change: placements in the configuration; each side claims its engines in the log (the offset is the fencing number) and looks there before each order; loads of a version take turns through a stream of their own, folded in log order; the weight store is asked before each load. What an engine reports as loaded is all that counts. Measured: tests/orders.rs, on engines that check the fencing number and on ones that ignore it; one engine of four loads at a time.

--- a/core/src/config/mod.rs
+++ b/core/src/config/mod.rs
@@ -10,6 +10,6 @@
 pub use fold::{AuditEntry, Config, Fold, RULES, SeenIds, Snapshot, Stored, Verdict};
 pub use matches::SelectorMatch;
 pub use object::{
-    CascadeSpec, CustomerSpec, GrantSpec, HostSelector, ModelSpec, Object, ObjectKey, RolloutSpec,
-    ServiceSpec, SessionSpec, Spec, VersionSpec,
+    CascadeSpec, CustomerSpec, GrantSpec, HostSelector, ModelSpec, Object, ObjectKey,
+    PlacementSpec, RolloutSpec, ServiceSpec, SessionSpec, Spec, VersionSpec,
 };
--- a/core/src/config/object.rs
+++ b/core/src/config/object.rs
@@ -37,6 +37,8 @@
     Grant(GrantSpec),
     /// A family of versions that callers name.
     Model(ModelSpec),
+    /// Versions that hosts are to have loaded.
+    Placement(PlacementSpec),
     /// A move of a model's new sessions from one version to another.
     Rollout(RolloutSpec),
     /// A plain service, by path.
@@ -90,6 +92,23 @@
     pub current: VersionName,
 }
 
+/// Versions that hosts are to have loaded.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct PlacementSpec {
+    /// The versions.
+    pub versions: Vec<VersionName>,
+    /// Over the labels `host`, `pool` and `failure_domain` of hosts.
+    pub hosts: HostSelector,
+    /// Share of these hosts that may load one version at the same time; at least one may.
+    #[serde(default = "default_load_share")]
+    pub load_share: PerMille,
+}
+
+fn default_load_share() -> PerMille {
+    PerMille(250)
+}
+
 /// A move of a model's new sessions from its current version to another.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -161,6 +180,7 @@
             Self::Customer(_) => "customer",
             Self::Grant(_) => "grant",
             Self::Model(_) => "model",
+            Self::Placement(_) => "placement",
             Self::Rollout(_) => "rollout",
             Self::Service(_) => "service",
             Self::Session(_) => "session",
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -36,6 +36,7 @@
         Spec::Cascade(c) => c.models.iter().for_each(|m| needs("model", m.as_str())),
         Spec::Customer(_) | Spec::Grant(_) | Spec::Service(_) => {}
         Spec::Model(m) => needs("version", m.current.as_str()),
+        Spec::Placement(p) => p.versions.iter().for_each(|v| needs("version", v.as_str())),
         Spec::Rollout(r) => {
             needs("model", r.model.as_str());
             needs("version", r.to.as_str());
@@ -57,6 +58,7 @@
         Spec::Customer(c) if !c.key_sha256.iter().all(|k| is_sha256(k)) => {
             Some("key_sha256 takes 64 lower-case hex digits, not the key itself")
         }
+        Spec::Placement(p) if p.load_share > PerMille(1000) => Some("load_share is above 1000"),
         Spec::Rollout(r) if r.share > PerMille(1000) => Some("share is above 1000"),
         Spec::Service(s) if !s.path.starts_with('/') => Some("path must start with a slash"),
         Spec::Service(s) if s.methods.is_empty() => Some("methods is empty"),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod ids;
 mod label;
+mod loads;
 mod outbox;
 mod pin;
 mod queue;
@@ -28,8 +29,9 @@
 pub use claim::{Claim, ClaimFold, Standing};
 pub use config::{
     AuditEntry, CascadeSpec, Change, Config, CustomerSpec, Fold, GrantSpec, HostSelector,
-    ModelSpec, Object, ObjectKey, RULES, Record, RolloutSpec, SeenIds, SelectorMatch, ServiceSpec,
-    SessionSpec, Snapshot, Spec, Stored, StreamsOnWithdrawal, Verdict, VersionSpec, Withdrawal,
+    ModelSpec, Object, ObjectKey, PlacementSpec, RULES, Record, RolloutSpec, SeenIds,
+    SelectorMatch, ServiceSpec, SessionSpec, Snapshot, Spec, Stored, StreamsOnWithdrawal, Verdict,
+    VersionSpec, Withdrawal,
 };
 pub use detector::{Detector, Health, Policy};
 pub use error::{ErrorKind, ErrorRow, RunState};
@@ -38,6 +40,7 @@
     ParseIdError, PerMille, RequestId, SessionId, VersionName,
 };
 pub use label::{Labels, ParseSelectorError, Selector};
+pub use loads::{FenceRecord, LoadFold, LoadRecord};
 pub use outbox::{Outbox, OutboxFull};
 pub use pin::{Pin, PinKey, PinTable};
 pub use queue::{FairQueue, QueueLimits, Waiting};
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -2,15 +2,16 @@
 
 use std::net::SocketAddr;
 
-use redwingfold_core::{Millis, RequestId, VersionName};
+use redwingfold_core::{Millis, Offset, RequestId, VersionName};
 use redwingfold_http::{CallError, Client, Method, Request, Url};
-use serde::Deserialize;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 use crate::clock::span;
 
 const LOAD_TIMEOUT: Millis = Millis(1_000);
 const MAX_LOAD_BYTES: usize = 256 * 1024;
+const STATUS_CONFLICT: u16 = 409;
 const DATA_PREFIX: &str = "data: ";
 
 /// What an engine says of itself, some time after the fact.
@@ -32,6 +33,41 @@
     }
 }
 
+/// What an engine said to an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub(crate) enum Ordered {
+    /// It has seen a higher fencing number.
+    Fenced,
+    Taken,
+    /// No clear answer; whether it was taken shows in the engine's report.
+    Unknown(String),
+}
+
+#[derive(Serialize)]
+struct Order<'a> {
+    fencing: Offset,
+    versions: &'a [VersionName],
+}
+
+/// Orders an engine to have these versions loaded.
+pub(crate) async fn engine_order(
+    http: &Client,
+    addr: SocketAddr,
+    fencing: Offset,
+    versions: &[VersionName],
+    timeout: Millis,
+) -> Ordered {
+    let body = serde_json::to_vec(&Order { fencing, versions }).unwrap_or_default();
+    let target = "/v1/orders";
+    let call = http.call(Method::Post, addr, target, Some(body), span(timeout), MAX_LOAD_BYTES);
+    match call.await {
+        Ok(answer) if answer.is_success() => Ordered::Taken,
+        Ok(answer) if answer.status == STATUS_CONFLICT => Ordered::Fenced,
+        Ok(answer) => Ordered::Unknown(format!("status {}", answer.status)),
+        Err(e) => Ordered::Unknown(e.to_string()),
+    }
+}
+
 /// Makes a request for an engine: the caller's, with the version in place of what it named.
 pub(crate) fn engine_request(
     addr: SocketAddr,
--- a/src/platform/hosts.rs
+++ b/src/platform/hosts.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use redwingfold_core::{FailureDomain, HostId, Member, Millis, PooledSide};
+use redwingfold_core::{FailureDomain, HostId, Labels, Member, Millis, PooledSide};
 use redwingfold_http::{Client, Method};
 use serde::Deserialize;
 
@@ -37,6 +37,16 @@
         self.role == "side"
     }
 
+    /// Returns the labels that placements are matched against.
+    pub(crate) fn labels(&self) -> Labels {
+        let pairs = [
+            ("host", self.host.to_string()),
+            ("pool", self.pool.clone()),
+            ("failure_domain", self.failure_domain.to_string()),
+        ];
+        pairs.into_iter().map(|(key, value)| (key.to_owned(), value)).collect()
+    }
+
     pub(crate) fn pooled(&self) -> PooledSide {
         PooledSide { member: self.member(), pool: self.pool.clone() }
     }
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -18,6 +18,10 @@
     pub(crate) const CONFIG: &str = "config";
     /// Snapshots of the configuration.
     pub(crate) const SNAPSHOTS: &str = "config-snapshots";
+    /// Prefix of the streams of claims to an engine host, by host.
+    pub(crate) const FENCES: &str = "fences-";
+    /// Prefix of the streams of loads, by version.
+    pub(crate) const LOADS: &str = "loads-";
     /// Prefix of the partitions of claims.
     pub(crate) const CLAIMS: &str = "claims-";
 }
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -13,4 +13,4 @@
 pub use ctl::CtlSettings;
 pub use entry::{EntrySettings, LimitSettings, RatingSettings, RetrySettings, SessionSettings};
 pub use parse::{SettingsError, parse, read};
-pub use side::{BackendKind, BackendSettings, QueueSettings, SideSettings};
+pub use side::{BackendKind, BackendSettings, OrderSettings, QueueSettings, SideSettings};
--- a/src/settings/side.rs
+++ b/src/settings/side.rs
@@ -36,6 +36,9 @@
     /// Records for the log.
     #[serde(default)]
     pub batch: BatchSettings,
+    /// Orders to the engines.
+    #[serde(default)]
+    pub orders: OrderSettings,
     /// Sessions that are held for the entries.
     #[serde(default = "default_max_pins")]
     pub max_pins: usize,
@@ -76,6 +79,7 @@
             queue: QueueSettings::default(),
             heartbeat: HeartbeatSettings::default(),
             batch: BatchSettings::default(),
+            orders: OrderSettings::default(),
             max_pins: default_max_pins(),
             metrics: MetricsSettings::default(),
         }
@@ -113,6 +117,31 @@
     8
 }
 
+/// Orders to the engines.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(default)]
+pub struct OrderSettings {
+    /// Address of the weight store; none loads without asking.
+    pub weight_store: Option<SocketAddr>,
+    /// Time between looks whether the engines have what they are to have.
+    pub every_ms: Millis,
+    /// Longest time of a load.
+    pub load_timeout_ms: Millis,
+    /// Oldest look at the log that an order may be given by.
+    pub fence_age_ms: Millis,
+}
+
+impl Default for OrderSettings {
+    fn default() -> Self {
+        Self {
+            weight_store: None,
+            every_ms: Millis(2_000),
+            load_timeout_ms: Millis(600_000),
+            fence_age_ms: Millis(1_000),
+        }
+    }
+}
+
 /// The queue before a backend server.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
--- a/src/side/backend.rs
+++ b/src/side/backend.rs
@@ -105,6 +105,10 @@
         self.lock().versions.contains(version)
     }
 
+    pub(crate) fn versions(&self) -> Vec<VersionName> {
+        self.lock().versions.clone()
+    }
+
     /// Notes how long a request that did not wait took to its first byte.
     pub(crate) fn note_first_token(&self, took: Millis) {
         let mut state = self.lock();
--- a/src/side/mod.rs
+++ b/src/side/mod.rs
@@ -3,6 +3,7 @@
 mod backend;
 mod context;
 mod load_reports;
+mod orders;
 mod requests;
 mod run;
 mod start;
--- a/src/side/start.rs
+++ b/src/side/start.rs
@@ -9,6 +9,7 @@
 
 use super::context::Side;
 use super::load_reports::{Told, follow_engines, tell};
+use super::orders::give_orders;
 use super::requests::{answer, hold};
 use super::run::run;
 use crate::clock::{span, within};
@@ -57,6 +58,7 @@
     let mut tasks = Vec::new();
     tasks.push(spawn(&side, |s| async move { s.daemon.follow_hosts().await }));
     tasks.push(spawn(&side, |s| async move { follow_engines(&s).await }));
+    tasks.push(spawn(&side, |s| async move { give_orders(&s).await }));
     tasks.push(spawn(&side, |s| async move { refuse_withdrawn(&s).await }));
     tasks.push(spawn(&side, |s| async move {
         let is_relaxed = || !s.links().is_empty() && !s.daemon.is_reader();
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -30,6 +30,8 @@
     pub cache: usize,
     /// Age of the load that is reported.
     pub report_lag: Duration,
+    /// Time that an order takes in which something is loaded.
+    pub load_ms: u64,
     /// Whether orders with an old fencing number are refused.
     pub fencing: bool,
     /// Seed of the bad answers.
@@ -45,6 +47,7 @@
             token_ms: 1,
             cache: 64,
             report_lag: Duration::from_millis(200),
+            load_ms: 0,
             fencing: true,
             seed: 1,
         }
@@ -256,18 +259,24 @@
 async fn order(req: &mut Request, state: &Mutex<State>, history: &History) -> Response {
     let body = serve::body_json(req).await.unwrap_or_default();
     let fence = body["fencing"].as_u64().unwrap_or(0);
+    let wanted = body["versions"].as_array().cloned().unwrap_or_default();
+    let wanted: Vec<_> = wanted.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
+    let wait = {
+        let mut s = lock(state);
+        if s.settings.fencing && fence < s.fence {
+            history.add("order_refused", "", &fence.to_string(), body.to_string());
+            return serve::status(409, "old fencing number");
+        }
+        s.fence = s.fence.max(fence);
+        let loads = wanted.iter().any(|v| !s.settings.versions.contains(v));
+        Duration::from_millis(if loads { s.settings.load_ms } else { 0 })
+    };
+    history.add("order", &wanted.join(","), &fence.to_string(), "");
+    Timer::after(wait).await;
+    history.add("loaded", &wanted.join(","), &fence.to_string(), "");
     let mut s = lock(state);
-    if s.settings.fencing && fence < s.fence {
-        history.add("order_refused", "", "", body.to_string());
-        return serve::status(409, "old fencing number");
-    }
-    s.fence = s.fence.max(fence);
-    if let Some(versions) = body["versions"].as_array() {
-        s.settings.versions =
-            versions.iter().filter_map(|v| v.as_str().map(str::to_owned)).collect();
-    }
-    history.add("order", "", "", body.to_string());
-    serve::json(&json!({"fencing": s.fence, "versions": s.settings.versions}))
+    s.settings.versions = wanted;
+    serve::json(&json!({"fencing": fence, "versions": s.settings.versions}))
 }
 
 struct Run {
--- a/standins/src/fleet/launch.rs
+++ b/standins/src/fleet/launch.rs
@@ -307,6 +307,13 @@
         self.list_hosts(Duration::ZERO);
     }
 
+    /// Starts a side anew while the old process lives on, and returns the old one.
+    pub fn replace(&mut self, host: &str) -> Process {
+        let old = self.daemons.remove(host).expect("a running daemon");
+        self.restart(host);
+        old.process
+    }
+
     /// Lists all daemons as live.
     pub fn list_hosts(&self, lag: Duration) {
         let hosts = self.daemons.iter().map(|(host, daemon)| {
--- a/standins/src/fleet/objects.rs
+++ b/standins/src/fleet/objects.rs
@@ -51,6 +51,13 @@
         self.with("rollout", name, json!({}), json!({"model": model, "to": to, "share": share}))
     }
 
+    /// Adds a placement.
+    #[must_use]
+    pub fn placement(self, name: &str, hosts: &str, versions: &[&str], share: u16) -> Self {
+        let spec = json!({"versions": versions, "hosts": hosts, "load_share": share});
+        self.with("placement", name, json!({}), spec)
+    }
+
     /// Adds a plain service that takes GET, which may be repeated, and POST, which may not.
     #[must_use]
     pub fn service(self, name: &str, path: &str) -> Self {
--- /dev/null
+++ b/tests/orders.rs
@@ -0,0 +1,111 @@
+//! Orders to engines: fenced, bounded, and taken up where a roll-out broke off.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{builder, engine, objects};
+use redwingfold_standins::fleet::{Ask, Fleet, Objects, wait_until};
+use redwingfold_standins::{EngineSettings, Event};
+use serde_json::json;
+
+const HOSTS: [&str; 4] = ["gpu-1", "gpu-2", "gpu-3", "gpu-4"];
+
+fn fleet(engine_settings: &EngineSettings) -> Fleet {
+    let mut builder = builder().settings("side", "orders", json!({"every_ms": 100}));
+    for host in HOSTS {
+        builder = builder.engine(host, engine_settings.clone());
+    }
+    builder.start(&objects())
+}
+
+fn place(fleet: &Fleet, versions: &[&str]) {
+    fleet.publish(&Objects::default().placement(
+        "slips",
+        "host in (gpu-1|gpu-2|gpu-3|gpu-4)",
+        versions,
+        250,
+    ));
+}
+
+fn all_have(fleet: &Fleet, versions: &[&str]) -> bool {
+    fleet.engines.values().all(|e| {
+        let mut loaded = e.versions();
+        loaded.sort();
+        loaded == versions
+    })
+}
+
+/// Returns the most engines that were loading at once. One whose side was killed in a load loads on,
+/// and is ordered again by the next side: that is one engine still.
+fn most_at_once(fleet: &Fleet) -> usize {
+    let of = |(host, engine): (&String, &redwingfold_standins::Engine)| {
+        let events = engine.history.events().into_iter();
+        events.map(|e| (host.clone(), e)).collect::<Vec<_>>()
+    };
+    let mut events: Vec<_> = fleet.engines.iter().flat_map(of).collect();
+    events.retain(|(_, e)| e.what == "order" || e.what == "loaded");
+    events.sort_by_key(|(_, e)| e.at_us);
+    let mut loading = BTreeMap::<String, i32>::new();
+    let mut most = 0;
+    for (host, event) in events {
+        *loading.entry(host).or_default() += if event.what == "order" { 1 } else { -1 };
+        most = most.max(loading.values().filter(|n| **n > 0).count());
+    }
+    most
+}
+
+/// Operators see a version loaded on all four hosts, one after the other, since a quarter of them
+/// may load at once, and callers served all the while. A side that is killed in its load and
+/// replaced goes on from what its engine truly has.
+#[test]
+fn placements_are_loaded_in_turn_and_taken_up_again() {
+    let slow = EngineSettings { load_ms: 200, ..engine(&["slip-1"]) };
+    let mut fleet = fleet(&slow);
+    place(&fleet, &["slip-1", "slip-2"]);
+    let ordered = |host: &str| !fleet.engines[host].history.of("order").is_empty();
+    wait_until("a load begins", || HOSTS.iter().any(|h| ordered(h)));
+    let loading = HOSTS.into_iter().find(|h| ordered(h)).expect("one");
+    fleet.process(loading).kill();
+    fleet.restart(loading);
+    let served = fleet.caller(0).send_blocking(&Ask::chat("ani", "slip", "one"));
+    assert_eq!(served.status, 200, "{}", served.text());
+    wait_until("all have it", || all_have(&fleet, &["slip-1", "slip-2"]));
+    assert_eq!(most_at_once(&fleet), 1);
+    // A version that is placed no more is unloaded, which needs no turn.
+    place(&fleet, &["slip-2"]);
+    wait_until("all have only it", || all_have(&fleet, &["slip-2"]));
+}
+
+/// A side that was paused while another took its place wakes, and gives no order: neither to an
+/// engine that checks the fencing number nor to one that ignores it.
+#[test]
+fn an_old_side_that_wakes_gives_no_order() {
+    for fencing in [true, false] {
+        let settings = EngineSettings { fencing, ..engine(&["slip-1"]) };
+        let mut fleet = fleet(&settings);
+        place(&fleet, &["slip-1", "slip-2"]);
+        wait_until("all have it", || all_have(&fleet, &["slip-1", "slip-2"]));
+        fleet.process("gpu-1").freeze();
+        let old = fleet.replace("gpu-1");
+        place(&fleet, &["slip-2"]);
+        wait_until("the new side has ordered", || all_have(&fleet, &["slip-2"]));
+        let orders = |what: &str| -> Vec<Event> { fleet.engines["gpu-1"].history.of(what) };
+        let newest = orders("order").last().expect("an order").request.clone();
+        let given = orders("order").len();
+        old.thaw();
+        // The old one would act on any placement that it sees its engine not meet. It may come too
+        // late for one, when the new side has met it already.
+        let mut with_both = false;
+        wait_until("the old side gives up", || {
+            with_both = !with_both;
+            let versions: &[&str] = if with_both { &["slip-1", "slip-2"] } else { &["slip-2"] };
+            place(&fleet, versions);
+            wait_until("the new side orders", || all_have(&fleet, versions));
+            old.count("event=orders_superseded") > 0
+        });
+        let later = &orders("order")[given..];
+        assert!(later.iter().all(|e| e.request == newest), "fencing {fencing}: {later:?}");
+        assert!(orders("order_refused").is_empty(), "the look at the log came first");
+    }
+}
