fix(peer): look at idle connections once a heartbeat interval

Cause: an idle entry with 58 connections took 1.11% of a core on average and 1.6% at most (200 daemons), against 1.4% for all control; its detector looked at each connection ten times a second.

--- a/core/src/detector.rs
+++ b/core/src/detector.rs
@@ -59,6 +59,11 @@
         now.since(last) >= every
     }
 
+    /// Says whether a heartbeat is out that was not answered.
+    pub fn is_asking(&self) -> bool {
+        self.asked.is_some()
+    }
+
     /// Notes that a heartbeat was sent.
     pub fn asked(&mut self, now: Millis) {
         self.asked.get_or_insert(now);
--- a/src/peer/control.rs
+++ b/src/peer/control.rs
@@ -111,8 +111,16 @@
         }
     }
 
-    fn check_every(&self, daemon: &Daemon) -> Millis {
-        Millis((daemon.heartbeat.interval_ms.0 / CHECKS_PER_INTERVAL).max(1))
+    /// Returns the time until the detector is looked at again: often only while an answer is awaited
+    /// or a heartbeat is out. Looking at sixty idle connections ten times a second took most of the
+    /// processor time of an idle entry.
+    fn next_check(&self, daemon: &Daemon) -> Millis {
+        let interval = daemon.heartbeat.interval_ms;
+        let is_idle = self.calls.load(Ordering::Relaxed) == 0 && !self.with(|d| d.is_asking());
+        match is_idle {
+            true => interval,
+            false => Millis((interval.0 / CHECKS_PER_INTERVAL).max(1)),
+        }
     }
 }
 
@@ -174,7 +182,7 @@
         let mut last = Health::Live;
         let mut counted = (0, 0);
         loop {
-            Timer::after(span(link.check_every(daemon))).await;
+            Timer::after(span(link.next_check(daemon))).await;
             counted = count_traffic(daemon, conn, counted);
             let now = daemon.now();
             let health = link.health(now);
