feat(entry): add up ratings over entries, and let roll-outs go on by themselves

Cause: evidence at one entry is thin, and a share that only operators raise is either slow or careless. Change: entries append totals of their ratings, one batch each few seconds and only where something was rated, and fold those of all; a roll-out with steps rises when its step has its number of ratings and the lower bound keeps what is allowed; the test that stops a version runs on the sum.

--- a/core/src/config/object.rs
+++ b/core/src/config/object.rs
@@ -119,6 +119,26 @@
     pub to: VersionName,
     /// Share of new sessions that get it.
     pub share: PerMille,
+    /// Shares that it goes through by itself as ratings earn them; none leaves it to operators.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<PerMille>,
+    /// Rated answers that a step takes.
+    #[serde(default = "default_per_step")]
+    pub per_step: u32,
+    /// Share of bad answers that the version may give.
+    #[serde(default = "default_allowed_bad")]
+    pub allowed_bad: PerMille,
+    /// Rated answers when the present share was set; kept by the entries.
+    #[serde(default)]
+    pub rated_before: u64,
+}
+
+fn default_per_step() -> u32 {
+    50
+}
+
+fn default_allowed_bad() -> PerMille {
+    PerMille(100)
 }
 
 /// A plain service, by path.
--- a/core/src/config/validate.rs
+++ b/core/src/config/validate.rs
@@ -60,6 +60,8 @@
         }
         Spec::Placement(p) if p.load_share > PerMille(1000) => Some("load_share is above 1000"),
         Spec::Rollout(r) if r.share > PerMille(1000) => Some("share is above 1000"),
+        Spec::Rollout(r) if !r.steps.is_sorted() => Some("steps must rise"),
+        Spec::Rollout(r) if r.steps.last() > Some(&PerMille(1000)) => Some("a step is above 1000"),
         Spec::Service(s) if !s.path.starts_with('/') => Some("path must start with a slash"),
         Spec::Service(s) if s.methods.is_empty() => Some("methods is empty"),
         Spec::Service(s) if s.repeatable.iter().any(|m| !s.methods.contains(m)) => {
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -12,6 +12,7 @@
 mod config;
 mod detector;
 mod error;
+mod evidence;
 mod ids;
 mod label;
 mod loads;
@@ -35,6 +36,7 @@
 };
 pub use detector::{Detector, Health, Policy};
 pub use error::{ErrorKind, ErrorRow, RunState};
+pub use evidence::{Evidence, TallyRecord, next_step};
 pub use ids::{
     ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis, ModelName, Offset,
     ParseIdError, PerMille, RequestId, SessionId, VersionName,
--- a/core/src/rollout.rs
+++ b/core/src/rollout.rs
@@ -20,6 +20,11 @@
         Self { good: self.good + other.good, bad: self.bad + other.bad }
     }
 
+    /// Returns the number of rated answers.
+    pub fn rated(self) -> u64 {
+        self.good + self.bad
+    }
+
     /// Returns the lower confidence bound of the share of good answers, with a prior of `quality`
     /// that weighs as much as `weight` ratings (Wilson's interval, z = 1.64).
     pub fn lower_bound(self, quality: PerMille, weight: u32) -> PerMille {
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -372,7 +372,7 @@
             Begun::Whole { head, body, end, link } => {
                 // Not before: an answer that is judged and not given leaves its bill to the next.
                 self.hold_bill(&end, &link);
-                if head.status == u16::from(StatusCode::Ok) && is_sampled(&self.entry) {
+                if head.status == u16::from(StatusCode::Ok) && is_sampled(&self.entry, version) {
                     let text = String::from_utf8_lossy(&body).into_owned();
                     self.clone().judge_later(version.clone(), text);
                 }
@@ -403,7 +403,7 @@
         under_way: UnderWay,
     ) {
         let mut text = Vec::new();
-        let is_rated = is_sampled(&self.entry);
+        let is_rated = is_sampled(&self.entry, &version);
         let left = self.deadline.since(self.entry.daemon.now());
         let pumped = async {
             loop {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -10,6 +10,7 @@
 mod hints;
 mod plain;
 mod quality;
+mod rollouts;
 mod sessions;
 mod sides;
 mod start;
--- a/src/entry/quality.rs
+++ b/src/entry/quality.rs
@@ -1,35 +1,55 @@
-//! Ratings of answers, and the withdrawal of versions that they show to be bad.
+//! Ratings of answers: what they say of versions, and of kinds of requests.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use redwingfold_core::{
-    Config, Offset, PerMille, Record, RequestId, SequentialTest, Spec, StreamsOnWithdrawal, Tally,
-    TestVerdict, VersionName, VersionSpec, Withdrawal,
+    Config, Evidence, HostId, Incarnation, ObjectKey, Offset, PerMille, SequentialTest, Spec,
+    Tally, TallyRecord, TestVerdict, VersionName, VersionSpec,
 };
 
 use super::context::Entry;
-use crate::clock::wall;
-use crate::platform::{LogError, rate, stream};
+use super::rollouts::withdraw;
+use crate::platform::rate;
 
 const MILLION: f64 = 1_000_000.0;
 
-/// Tallies of this entry, and the versions that it has stopped itself.
+/// What this entry has counted, what all have, and the versions that it has stopped itself.
 #[derive(Debug, Default)]
 pub(crate) struct Quality(Mutex<State>);
 
 #[derive(Debug, Default)]
 struct State {
-    tallies: BTreeMap<VersionName, BTreeMap<String, Tally>>,
+    /// By version: since when, and the ratings by kind of request.
+    own: BTreeMap<VersionName, (Offset, BTreeMap<String, Tally>)>,
+    all: Evidence,
     stopped: BTreeSet<VersionName>,
 }
 
+impl State {
+    fn own_of(&self, version: &VersionName) -> (Offset, Tally) {
+        match self.own.get(version) {
+            Some((since, classes)) => {
+                (*since, classes.values().fold(Tally::default(), |sum, t| sum.plus(*t)))
+            }
+            None => (Offset(0), Tally::default()),
+        }
+    }
+}
+
+/// Returns the offset at which a version was last changed, as far as its ratings go: a version that
+/// is put back begins anew.
+pub(crate) fn in_service_since(config: &Config, version: &VersionName) -> Offset {
+    let stored = config.objects.get(&ObjectKey::new("version", version));
+    stored.map_or(Offset(0), |stored| stored.revision)
+}
+
 impl Quality {
     fn lock(&self) -> MutexGuard<'_, State> {
         self.0.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the lower bound of a version's quality for a kind of request.
+    /// Returns the lower bound of a version's quality for a kind of request, as this entry saw it.
     pub(crate) fn lower_bound(
         &self,
         version: &VersionName,
@@ -37,7 +57,7 @@
         class: &str,
     ) -> PerMille {
         let state = self.lock();
-        let tally = state.tallies.get(version).and_then(|t| t.get(class)).copied();
+        let tally = state.own.get(version).and_then(|(_, classes)| classes.get(class)).copied();
         tally.unwrap_or_default().lower_bound(spec.quality, spec.quality_weight)
     }
 
@@ -63,28 +83,77 @@
         Arc::new(config)
     }
 
-    /// Adds a rating; returns the version's tally over all kinds of requests.
-    fn add(&self, version: &VersionName, class: &str, good: bool) -> Tally {
+    /// Adds a rating.
+    fn add(&self, version: &VersionName, since: Offset, class: &str, good: bool) {
         let mut state = self.lock();
-        let classes = state.tallies.entry(version.clone()).or_default();
+        let held = state.own.entry(version.clone()).or_default();
+        if held.0 != since {
+            *held = (since, BTreeMap::new());
+        }
         let one = Tally { good: u64::from(good), bad: u64::from(!good) };
-        let tally = classes.entry(class.to_owned()).or_default();
+        let tally = held.1.entry(class.to_owned()).or_default();
         *tally = tally.plus(one);
-        classes.values().fold(Tally::default(), |sum, t| sum.plus(*t))
     }
 
-    /// Notes that a version is stopped; its ratings so far do not count if it is put back.
-    fn stop(&self, version: &VersionName) -> bool {
+    /// Returns this entry's totals, for the ratings stream.
+    pub(crate) fn records(&self, host: &HostId, incarnation: Incarnation) -> Vec<TallyRecord> {
+        let state = self.lock();
+        let records = state.own.iter().map(|(version, (since, _))| TallyRecord {
+            host: host.clone(),
+            incarnation,
+            version: version.clone(),
+            since: *since,
+            tally: state.own_of(version).1,
+        });
+        records.collect()
+    }
+
+    /// Folds what the ratings stream has.
+    pub(crate) fn fold(&self, records: &[(Offset, Vec<u8>)]) {
         let mut state = self.lock();
-        state.tallies.remove(version);
-        state.stopped.insert(version.clone())
+        for (offset, raw) in records {
+            state.all.apply(*offset, raw);
+        }
+    }
+
+    pub(crate) fn folded(&self) -> Offset {
+        self.lock().all.offset()
+    }
+
+    /// Returns what all entries have counted of a version, with the newest of this one.
+    pub(crate) fn evidence(&self, entry: &Entry, version: &VersionName, since: Offset) -> Tally {
+        let mut state = self.lock();
+        let (own_since, tally) = state.own_of(version);
+        let host = entry.daemon.host.clone();
+        let incarnation = entry.daemon.incarnation;
+        state.all.add(TallyRecord {
+            host,
+            incarnation,
+            version: version.clone(),
+            since: own_since,
+            tally,
+        });
+        state.all.of(version, since)
+    }
+
+    /// Notes that a version is stopped; says whether it was not before.
+    fn stop(&self, version: &VersionName) -> bool {
+        self.lock().stopped.insert(version.clone())
     }
 }
 
-/// Says whether this answer is among those that are rated.
-pub(crate) fn is_sampled(entry: &Entry) -> bool {
+/// Says whether an answer of this version is among those that are rated.
+pub(crate) fn is_sampled(entry: &Entry, version: &VersionName) -> bool {
     let rating = &entry.settings.rating;
-    rating.address.is_some() && fastrand::u16(0..1000) < rating.sample_per_mille
+    let config = entry.daemon.store.current();
+    let is_rolled_out = config
+        .of_kind("rollout")
+        .any(|(_, spec)| matches!(spec, Spec::Rollout(r) if r.to == *version));
+    let share = match is_rolled_out {
+        true => rating.rollout_sample_per_mille,
+        false => rating.sample_per_mille,
+    };
+    rating.address.is_some() && fastrand::u16(0..1000) < share
 }
 
 /// Has an answer rated, counts the rating, and withdraws the version if it is shown to be bad.
@@ -95,38 +164,28 @@
     text: &str,
 ) -> Option<PerMille> {
     let rating = &entry.settings.rating;
+    let since = in_service_since(&entry.daemon.store.current(), version);
     let timeout = rating.timeout_ms;
     let score = rate(&entry.daemon.http, rating.address?, version, text, timeout).await?;
     let good = score.0 >= rating.good_from;
     entry.daemon.telemetry.count(if good { "rating.good" } else { "rating.bad" }, 1);
-    let tally = entry.quality.add(version, class, good);
+    entry.quality.add(version, since, class, good);
+    test_version(entry, version);
+    Some(score)
+}
+
+/// Tests a version by what all entries have counted; one that fails is stopped here at once and
+/// withdrawn through the log.
+pub(crate) fn test_version(entry: &Arc<Entry>, version: &VersionName) {
+    let rating = &entry.settings.rating;
+    let config = entry.daemon.store.current();
+    let tally = entry.quality.evidence(entry, version, in_service_since(&config, version));
     let alpha = f64::from(rating.false_stop_per_million) / MILLION;
     let test = SequentialTest::new(PerMille(rating.allowed_bad_per_mille), alpha);
-    if test.verdict(tally) == TestVerdict::Stop && entry.quality.stop(version) {
-        let reason = format!("{} of {} rated answers were bad", tally.bad, tally.bad + tally.good);
+    let in_service = config.version(version).is_some_and(|spec| spec.withdrawn_at.is_none());
+    if in_service && test.verdict(tally) == TestVerdict::Stop && entry.quality.stop(version) {
+        let reason = format!("{} of {} rated answers were bad", tally.bad, tally.rated());
         entry.daemon.telemetry.warn("version_stopped", &[("version", version), ("why", &reason)]);
         smol::spawn(withdraw(entry.clone(), version.clone(), reason)).detach();
     }
-    Some(score)
-}
-
-/// Appends the withdrawal until the log has it. A second copy has the same id and no effect.
-async fn withdraw(entry: Arc<Entry>, version: VersionName, reason: String) {
-    let record = Record::Withdraw(Withdrawal {
-        id: RequestId(fastrand::u128(..)),
-        author: format!("entry {}", entry.daemon.host),
-        reason,
-        at: wall(),
-        version,
-        streams: StreamsOnWithdrawal::Finish,
-    });
-    let json = serde_json::to_vec(&record).unwrap_or_default();
-    while let Err(e) = entry.daemon.log.append(stream::CONFIG, json.clone()).await {
-        entry.daemon.telemetry.warn("withdrawal_not_appended", &[("why", &e)]);
-        let pause = match e {
-            LogError::Refused { retry_after, .. } => retry_after,
-            LogError::Unknown(_) => redwingfold_core::Millis(500),
-        };
-        smol::Timer::after(crate::clock::jittered(pause)).await;
-    }
 }
--- /dev/null
+++ b/src/entry/rollouts.rs
@@ -0,0 +1,134 @@
+//! Roll-outs that go on by themselves, and withdrawals.
+
+use std::sync::Arc;
+
+use redwingfold_core::{
+    Change, Config, Millis, ObjectKey, Offset, Record, RequestId, RolloutSpec, Spec,
+    StreamsOnWithdrawal, VersionName, Withdrawal, next_step,
+};
+use smol::Timer;
+
+use super::context::Entry;
+use super::quality::{in_service_since, test_version};
+use crate::clock::{jittered, wall};
+use crate::platform::{LogError, stream};
+
+const PAGE: usize = 500;
+const RETRY_PAUSE: Millis = Millis(500);
+
+/// Tells the others what this entry has counted, takes in what they have, and acts by the sum, for
+/// ever: one batch each few seconds, and none where nothing was rated.
+pub(crate) async fn follow_ratings(entry: &Arc<Entry>) {
+    let mut told = Vec::new();
+    if entry.settings.rating.address.is_none() {
+        return;
+    }
+    loop {
+        Timer::after(jittered(entry.settings.batch.every_ms)).await;
+        let records = entry.quality.records(&entry.daemon.host, entry.daemon.incarnation);
+        if records != told {
+            let json = serde_json::to_vec(&records).unwrap_or_default();
+            // One without a clear answer is told again with the next totals.
+            if entry.daemon.log.append(stream::RATINGS, json).await.is_ok() {
+                told = records;
+            }
+        }
+        let from = Offset(entry.quality.folded().0 + 1);
+        match entry.daemon.log.read(stream::RATINGS, from, PAGE, Millis(0)).await {
+            Ok(page) => entry.quality.fold(&page.records),
+            Err(_) => continue,
+        }
+        let config = entry.daemon.store.current();
+        for (key, spec) in config.of_kind("version") {
+            match (spec, key.name.parse()) {
+                (Spec::Version(v), Ok(version)) if v.withdrawn_at.is_none() => {
+                    test_version(entry, &version);
+                }
+                _ => {}
+            }
+        }
+        go_on(entry, &config).await;
+    }
+}
+
+/// Raises the share of each roll-out that has earned its next step.
+async fn go_on(entry: &Arc<Entry>, config: &Config) {
+    let acted_by = entry.quality.overlay(entry.daemon.store.current());
+    for (key, spec) in config.of_kind("rollout") {
+        let Spec::Rollout(rollout) = spec else { continue };
+        let in_service = acted_by.version(&rollout.to).is_some_and(|v| v.withdrawn_at.is_none());
+        if !in_service {
+            continue;
+        }
+        let since = in_service_since(config, &rollout.to);
+        let tally = entry.quality.evidence(entry, &rollout.to, since);
+        let next = next_step(
+            &rollout.steps,
+            rollout.share,
+            rollout.rated_before,
+            tally,
+            rollout.per_step,
+            rollout.allowed_bad,
+        );
+        if let Some(share) = next {
+            let raised = RolloutSpec { share, rated_before: tally.rated(), ..rollout.clone() };
+            let reason = format!("{} of {} rated answers were good", tally.good, tally.rated());
+            raise(entry, config, key, raised, reason).await;
+        }
+    }
+}
+
+/// Publishes a roll-out's next share. Of several entries that do so at once the first in log order
+/// wins, as the others expect a revision that has moved.
+async fn raise(
+    entry: &Entry,
+    config: &Config,
+    key: &ObjectKey,
+    raised: RolloutSpec,
+    reason: String,
+) {
+    let Some(stored) = config.objects.get(key) else { return };
+    let share = raised.share;
+    let mut object = stored.object.clone();
+    object.spec = Spec::Rollout(raised);
+    let record = Record::Change(Change {
+        id: RequestId(fastrand::u128(..)),
+        author: format!("entry {}", entry.daemon.host),
+        reason,
+        at: wall(),
+        expects: [(key.clone(), stored.revision)].into(),
+        put: vec![object],
+        delete: Vec::new(),
+    });
+    let json = serde_json::to_vec(&record).unwrap_or_default();
+    // One that did not take effect is tried again with the next look.
+    match entry.daemon.log.append(stream::CONFIG, json).await {
+        Ok(_) => {
+            entry.daemon.telemetry.info("rollout_raised", &[("rollout", key), ("share", &share)])
+        }
+        Err(e) => {
+            entry.daemon.telemetry.warn("rollout_not_raised", &[("rollout", key), ("why", &e)])
+        }
+    }
+}
+
+/// Appends a withdrawal until the log has it. A second copy has the same id and no effect.
+pub(crate) async fn withdraw(entry: Arc<Entry>, version: VersionName, reason: String) {
+    let record = Record::Withdraw(Withdrawal {
+        id: RequestId(fastrand::u128(..)),
+        author: format!("entry {}", entry.daemon.host),
+        reason,
+        at: wall(),
+        version,
+        streams: StreamsOnWithdrawal::Finish,
+    });
+    let json = serde_json::to_vec(&record).unwrap_or_default();
+    while let Err(e) = entry.daemon.log.append(stream::CONFIG, json.clone()).await {
+        entry.daemon.telemetry.warn("withdrawal_not_appended", &[("why", &e)]);
+        let pause = match e {
+            LogError::Refused { retry_after, .. } => retry_after,
+            LogError::Unknown(_) => RETRY_PAUSE,
+        };
+        Timer::after(jittered(pause)).await;
+    }
+}
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -17,6 +17,7 @@
 use super::context::{Entry, UnderWay};
 use super::decisions::Trace;
 use super::plain::{Plain, find_service};
+use super::rollouts::follow_ratings;
 use super::sides::{keep_connected, reach, usable};
 use crate::billing::Held;
 use crate::clock::{span, wall, within};
@@ -79,6 +80,7 @@
     tasks.push(spawn(&entry, |e| async move {
         e.bills.ship(&e.daemon, |batch| confirm(&e, batch)).await;
     }));
+    tasks.push(spawn(&entry, |e| async move { follow_ratings(&e).await }));
     let peers = {
         let entry = entry.clone();
         let handler = move |_: Connection, call, tx, _: FrameReader<Call>| {
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -18,6 +18,8 @@
     pub(crate) const CONFIG: &str = "config";
     /// Snapshots of the configuration.
     pub(crate) const SNAPSHOTS: &str = "config-snapshots";
+    /// Totals of ratings, in batches.
+    pub(crate) const RATINGS: &str = "ratings";
     /// Prefix of the streams of claims to an engine host, by host.
     pub(crate) const FENCES: &str = "fences-";
     /// Prefix of the streams of loads, by version.
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -182,6 +182,8 @@
     pub address: Option<SocketAddr>,
     /// Share of answers that are rated, in thousandths.
     pub sample_per_mille: u16,
+    /// Share of answers by a version under roll-out that are rated, in thousandths.
+    pub rollout_sample_per_mille: u16,
     /// Longest wait for a rating.
     pub timeout_ms: Millis,
     /// Score from which an answer is good, in thousandths.
@@ -197,6 +199,7 @@
         Self {
             address: None,
             sample_per_mille: 100,
+            rollout_sample_per_mille: 1000,
             timeout_ms: Millis(2_000),
             good_from: 500,
             allowed_bad_per_mille: 100,
