--- a/core/src/balance.rs
+++ b/core/src/balance.rs
@@ -75,3 +75,14 @@
         _ => Some(pool[winner]),
     }
 }
+
+/// Chooses each candidate in turn, whatever its load: a baseline for measurements.
+pub fn pick_in_turn<T>(candidates: &[Candidate<T>], turn: usize) -> Option<&Candidate<T>> {
+    candidates.get(turn % candidates.len().max(1))
+}
+
+/// Chooses the candidate with the least reported load: a baseline for measurements. All entries
+/// that hold the same late reports choose the same one.
+pub fn pick_least_reported<T>(candidates: &[Candidate<T>]) -> Option<&Candidate<T>> {
+    candidates.iter().min_by_key(|c| c.reported)
+}
--- a/core/src/evidence.rs
+++ b/core/src/evidence.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::ids::{HostId, Incarnation, Offset, PerMille, VersionName};
+use crate::ids::{HostId, Incarnation, Millis, Offset, PerMille, VersionName};
 use crate::rollout::Tally;
 
 /// A record of the ratings stream: what one start of an entry has counted of a version so far.
@@ -21,13 +21,65 @@
     pub version: VersionName,
     /// When the version was last put back in service; ratings of before do not count.
     pub since: Offset,
-    /// What it has counted.
-    #[serde(flatten)]
-    pub tally: Tally,
+    /// When, by the entry's clock, since 1970.
+    pub at: Millis,
+    /// What it has counted in all.
+    pub total: Tally,
+    /// What it has counted lately.
+    pub recent: Tally,
+}
+
+/// Ratings that one half of a window holds.
+const HALF_WINDOW: u64 = 200;
+
+/// Age at which what an entry counted lately is worth nothing: it is gone, or rates nothing.
+const MAX_RECENT_AGE: Millis = Millis(600_000);
+
+/// Age at which what an entry counted is forgotten.
+const MAX_TOTAL_AGE: Millis = Millis(24 * 3_600_000);
+
+/// Counts the ratings of one version at one entry.
+///
+/// The test that stops a version looks at the last few hundred only: on all of them, a version that
+/// gave a million good answers could turn bad and give tens of thousands of bad ones before the sum
+/// showed it.
+///
+/// ```
+/// let mut counter = redwingfold_core::RatingCounter::default();
+/// (0..1_000_000).for_each(|_| counter.add(true));
+/// assert!(counter.recent().rated() <= 400);
+/// ```
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RatingCounter {
+    total: Tally,
+    current: Tally,
+    previous: Tally,
+}
+
+impl RatingCounter {
+    /// Adds a rating.
+    pub fn add(&mut self, good: bool) {
+        let one = Tally { good: u64::from(good), bad: u64::from(!good) };
+        self.total = self.total.plus(one);
+        self.current = self.current.plus(one);
+        if self.current.rated() == HALF_WINDOW {
+            self.previous = std::mem::take(&mut self.current);
+        }
+    }
+
+    /// Returns all that was counted.
+    pub fn total(&self) -> Tally {
+        self.total
+    }
+
+    /// Returns what was counted lately: between 200 and 400 ratings, or all if there were fewer.
+    pub fn recent(&self) -> Tally {
+        self.current.plus(self.previous)
+    }
 }
 
 /// Totals of the entries' starts.
-type Totals = BTreeMap<(HostId, Incarnation), Tally>;
+type Totals = BTreeMap<(HostId, Incarnation), TallyRecord>;
 
 /// The fold of the ratings stream.
 #[derive(Clone, Debug, Default)]
@@ -51,41 +103,54 @@
     /// Takes one entry's totals; a lower total than the one that is held is an older record.
     ///
     /// ```
-    /// use redwingfold_core::{Evidence, Incarnation, Offset, Tally, TallyRecord};
+    /// use redwingfold_core::{Evidence, Incarnation, Millis, Offset, Tally, TallyRecord};
     /// let record = |good| TallyRecord {
     ///     host: "entry-1".parse().unwrap(),
     ///     incarnation: Incarnation(1),
     ///     version: "v".parse().unwrap(),
     ///     since: Offset(3),
-    ///     tally: Tally { good, bad: 0 },
+    ///     at: Millis(0),
+    ///     total: Tally { good, bad: 0 },
+    ///     recent: Tally { good, bad: 0 },
     /// };
     /// let mut evidence = Evidence::default();
     /// for good in [5, 9, 5] {
     ///     evidence.add(record(good));
     /// }
-    /// assert_eq!(evidence.of(&"v".parse().unwrap(), Offset(3)).good, 9);
+    /// assert_eq!(evidence.total(&"v".parse().unwrap(), Offset(3)).good, 9);
     /// ```
     pub fn add(&mut self, record: TallyRecord) {
-        let held = self.versions.entry(record.version).or_default();
+        let held = self.versions.entry(record.version.clone()).or_default();
         if held.0 < record.since {
-            *held = (record.since, BTreeMap::new());
+            *held = (record.since, Totals::new());
+        }
+        if held.0 != record.since {
+            return;
         }
-        if held.0 == record.since {
-            let tally = held.1.entry((record.host, record.incarnation)).or_default();
-            if tally.rated() < record.tally.rated() {
-                *tally = record.tally;
+        held.1.retain(|_, r| record.at.since(r.at) < MAX_TOTAL_AGE);
+        let key = (record.host.clone(), record.incarnation);
+        match held.1.get(&key) {
+            Some(older) if older.total.rated() >= record.total.rated() => {}
+            _ => {
+                held.1.insert(key, record);
             }
         }
     }
 
+    fn records(&self, version: &VersionName, since: Offset) -> impl Iterator<Item = &TallyRecord> {
+        let held = self.versions.get(version).filter(|(held, _)| *held == since);
+        held.into_iter().flat_map(|(_, totals)| totals.values())
+    }
+
     /// Returns what all entries have counted of a version since it was put in service.
-    pub fn of(&self, version: &VersionName, since: Offset) -> Tally {
-        match self.versions.get(version) {
-            Some((held, tallies)) if *held == since => {
-                tallies.values().fold(Tally::default(), |sum, tally| sum.plus(*tally))
-            }
-            _ => Tally::default(),
-        }
+    pub fn total(&self, version: &VersionName, since: Offset) -> Tally {
+        self.records(version, since).fold(Tally::default(), |sum, r| sum.plus(r.total))
+    }
+
+    /// Returns what all entries have counted of it lately.
+    pub fn recent(&self, version: &VersionName, since: Offset, now: Millis) -> Tally {
+        let fresh = self.records(version, since).filter(|r| now.since(r.at) < MAX_RECENT_AGE);
+        fresh.fold(Tally::default(), |sum, r| sum.plus(r.recent))
     }
 
     /// Returns the offset of the last batch that was folded.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -23,7 +23,7 @@
 mod route;
 mod subset;
 
-pub use balance::{Candidate, expected_first_token, pick};
+pub use balance::{Candidate, expected_first_token, pick, pick_in_turn, pick_least_reported};
 pub use bill::{Bill, BillFold};
 pub use budget::{ByteBudget, RetryBudget};
 pub use call_table::{CallAnswer, CallState, CallTable};
@@ -36,7 +36,7 @@
 };
 pub use detector::{Detector, Health, Policy};
 pub use error::{ErrorKind, ErrorRow, RunState};
-pub use evidence::{Evidence, TallyRecord, next_step};
+pub use evidence::{Evidence, RatingCounter, TallyRecord, next_step};
 pub use ids::{
     ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis, ModelName, Offset,
     ParseIdError, PerMille, RequestId, SessionId, VersionName,
--- a/core/src/loads.rs
+++ b/core/src/loads.rs
@@ -51,8 +51,8 @@
     ///
     /// ```
     /// use redwingfold_core::{ClaimId, LoadFold, LoadRecord, Millis, Offset};
-    /// let begin = |id| serde_json::to_vec(&LoadRecord::Begin {
-    ///     id: ClaimId(id), host: "gpu-1".parse().unwrap(), version: "v".parse().unwrap(),
+    /// let begin = |id: u128| serde_json::to_vec(&LoadRecord::Begin {
+    ///     id: ClaimId(id), host: format!("gpu-{id}").parse().unwrap(), version: "v".parse().unwrap(),
     ///     limit: 1, at: Millis(10),
     /// }).unwrap();
     /// let mut fold = LoadFold::new(Millis(1000));
--- a/core/tests/rollout.rs
+++ b/core/tests/rollout.rs
@@ -1,6 +1,6 @@
 //! The sequential test that stops bad versions, on seeded answers.
 
-use redwingfold_core::{PerMille, SequentialTest, Tally, TestVerdict};
+use redwingfold_core::{PerMille, RatingCounter, SequentialTest, Tally, TestVerdict};
 
 const RATED: u64 = 2_000;
 
@@ -56,3 +56,34 @@
     let bad = Tally { good: 50, bad: 50 }.lower_bound(PerMille(900), 20);
     assert!(bad < unknown && unknown < good, "{bad} {unknown} {good}");
 }
+
+/// A version that gave a million good answers and turns bad is stopped after some hundred bad ones;
+/// on the sum of all ratings it would take a hundred thousand.
+#[test]
+fn a_long_good_past_does_not_hide_a_bad_present() {
+    let test = SequentialTest::new(PerMille(100), 0.001);
+    let mut counter = RatingCounter::default();
+    (0..1_000_000).for_each(|_| counter.add(true));
+    let stopped = (1..=2_000).find(|_| {
+        counter.add(false);
+        test.verdict(counter.recent()) == TestVerdict::Stop
+    });
+    assert!(stopped.is_some_and(|n| n <= 100), "{stopped:?}");
+    let all = Tally { bad: 50_000, ..counter.total() };
+    assert_eq!(test.verdict(all), TestVerdict::Continue, "which is why the window is there");
+}
+
+/// A window forgets, so that the bound on false stops holds for each window: still under one of 100
+/// good versions is stopped in 2,000 ratings.
+#[test]
+fn good_versions_are_not_stopped_by_a_window() {
+    let test = SequentialTest::new(PerMille(100), 0.001);
+    let stopped = (0..300).filter(|seed| {
+        let mut counter = RatingCounter::default();
+        (1..=RATED).any(|n| {
+            counter.add(!is_bad(*seed, n, 50));
+            test.verdict(counter.recent()) == TestVerdict::Stop
+        })
+    });
+    assert!(stopped.count() < 3);
+}
--- a/lab/src/detect.rs
+++ b/lab/src/detect.rs
@@ -138,7 +138,8 @@
         model: "slip".to_owned(),
         key: Some(key_of("ani")),
         prompt_chars: 200,
-        prefixes: 64,
+        // Each prompt begins in its own way: a warm cache would keep requests from the silenced side.
+        prefixes: 1_000_000,
         tokens: 8,
         stream: false,
         headers: Vec::new(),
--- a/lab/src/lib.rs
+++ b/lab/src/lib.rs
@@ -2,12 +2,18 @@
 
 mod args;
 mod detect;
+mod exposure;
+mod harvest;
+mod latency;
 mod objects;
+mod outage;
 mod overhead;
 mod plot;
 mod quickstart;
 mod report;
 mod scale;
+mod scale_report;
+mod trial;
 mod world;
 
 pub use args::{LabArgs, run};
--- /dev/null
+++ b/lab/src/outage.rs
@@ -0,0 +1,59 @@
+//! A log outage under load: what waits, and what is lost.
+
+use std::path::Path;
+use std::time::Duration;
+
+use redwingfold::load::{Pace, drive};
+use serde_json::{Value, json};
+
+use crate::report::write_json;
+use crate::trial::{EngineKind, customers, load, start};
+use crate::world::{get, post, wait};
+
+const RATE: f64 = 50.0;
+const BEFORE: Duration = Duration::from_secs(5);
+const FAST: EngineKind = EngineKind { slots: 64, token_ms: 0, prefill_ms: 0 };
+
+/// Measures, prints and writes it as JSON; says whether no bill was lost or doubled.
+pub(crate) fn outage(seconds: f64, out: &Path) -> eyre::Result<bool> {
+    let mut objects = customers(&["ani".to_owned()]);
+    objects.extend([
+        json!({"kind": "model", "name": "slip", "spec": {"current": "slip-1"}}),
+        json!({"kind": "version", "name": "slip-1", "spec": {"model": "slip", "cost_per_ktok": 1, "quality": 900}}),
+        json!({"kind": "grant", "name": "all", "spec": {"callers": "org=all", "versions": "model=slip"}}),
+    ]);
+    let world = start(2, 3, FAST, "slip-1", &json!({}), &Value::from(objects))?;
+    let length = Duration::from_secs_f64(seconds);
+    let total = BEFORE + length + BEFORE;
+    let load = load(&world, "ani", "slip", 4, Pace::Rate(RATE), total, 1)?;
+    let driving = std::thread::spawn(move || smol::block_on(drive(&load)));
+    std::thread::sleep(BEFORE);
+    let counts = || get(world.log.addr, "/counts");
+    let before = counts()?;
+    post(world.log.addr, "/control", &json!({"outage": true}))?;
+    std::thread::sleep(length);
+    let status: Vec<Value> = serde_json::from_slice(&world.ctl(&["status", "--json"])?.stdout)?;
+    let unconfirmed: Vec<_> = status
+        .iter()
+        .map(|d| json!({"host": d["host"], "unconfirmed": d["unconfirmed_bills"]}))
+        .collect();
+    post(world.log.addr, "/control", &json!({"outage": false}))?;
+    let samples = driving.join().map_err(|_| eyre::eyre!("the load broke off"))?;
+    let whole = samples.iter().filter(|s| s.is_whole).count();
+    let billed = || -> eyre::Result<u64> {
+        let output = world.ctl(&["bills", "--json"])?;
+        let sums: Value = serde_json::from_slice(&output.stdout)?;
+        Ok(sums["bills"][0]["requests"].as_u64().unwrap_or(0))
+    };
+    let caught_up = wait(|| billed().is_ok_and(|n| n >= whole as u64));
+    let billed = billed()?;
+    let after = counts()?;
+    let result = json!({
+        "outage_seconds": seconds, "rate": RATE, "requests": samples.len(), "whole": whole,
+        "billed": billed, "caught_up": caught_up.is_ok(), "unconfirmed_at_the_end": unconfirmed,
+        "appends_before": before["appends"], "appends_after": after["appends"],
+    });
+    println!("{}", serde_json::to_string_pretty(&result)?);
+    write_json(out, "outage", &result)?;
+    Ok(billed == whole as u64 && whole == samples.len())
+}
--- a/lab/src/scale.rs
+++ b/lab/src/scale.rs
@@ -10,8 +10,8 @@
 use serde_json::{Value, json};
 
 use crate::objects::one_model_and;
-use crate::plot::{Fit, Line, fit, plot};
-use crate::report::{print_table, write_json};
+use crate::report::write_json;
+use crate::scale_report::{draw, fits, print};
 use crate::world::{DaemonPart, World, get, post, wait};
 
 /// Daemons for each entry.
@@ -31,43 +31,43 @@
 
 /// What a role costs for control.
 #[derive(Clone, Copy, Debug, Default, Serialize)]
-struct Cost {
+pub(crate) struct Cost {
     /// Part of a core, in percent.
-    cpu_mean: f64,
-    cpu_max: f64,
+    pub(crate) cpu_mean: f64,
+    pub(crate) cpu_max: f64,
     /// Resident memory, in MiB.
-    memory_mean: f64,
-    memory_max: f64,
+    pub(crate) memory_mean: f64,
+    pub(crate) memory_max: f64,
     /// Bytes of UDP payload a second, sent and received.
-    bytes_mean: f64,
-    bytes_max: f64,
+    pub(crate) bytes_mean: f64,
+    pub(crate) bytes_max: f64,
 }
 
 #[derive(Clone, Debug, Serialize)]
-struct Propagation {
-    rate: f64,
-    changes: usize,
-    in_force_ms: Quantiles,
-    missing: usize,
-    entry: Cost,
-    side: Cost,
+pub(crate) struct Propagation {
+    pub(crate) rate: f64,
+    pub(crate) changes: usize,
+    pub(crate) in_force_ms: Quantiles,
+    pub(crate) missing: usize,
+    pub(crate) entry: Cost,
+    pub(crate) side: Cost,
 }
 
 #[derive(Clone, Debug, Serialize)]
-struct SizeResult {
-    daemons: usize,
-    entries: usize,
-    idle_entry: Cost,
-    idle_side: Cost,
-    log_appends_per_second: f64,
-    log_reads_per_second: f64,
-    propagation: Vec<Propagation>,
-    killed_ms: Quantiles,
-    frozen_ms: Quantiles,
-    leaving_ms: Quantiles,
-    restart_ms: f64,
-    restarted: usize,
-    restart_log_reads: u64,
+pub(crate) struct SizeResult {
+    pub(crate) daemons: usize,
+    pub(crate) entries: usize,
+    pub(crate) idle_entry: Cost,
+    pub(crate) idle_side: Cost,
+    pub(crate) log_appends_per_second: f64,
+    pub(crate) log_reads_per_second: f64,
+    pub(crate) propagation: Vec<Propagation>,
+    pub(crate) killed_ms: Quantiles,
+    pub(crate) frozen_ms: Quantiles,
+    pub(crate) leaving_ms: Quantiles,
+    pub(crate) restart_ms: f64,
+    pub(crate) restarted: usize,
+    pub(crate) restart_log_reads: u64,
 }
 
 /// Measures all sizes, prints tables, and writes them as JSON and SVG.
@@ -368,156 +368,3 @@
     let after = get(world.log.addr, "/counts")?["reads"].as_u64().unwrap_or(0);
     Ok((took, hosts.len(), after - before))
 }
-
-fn print(results: &[SizeResult]) {
-    let cost = |c: &Cost| {
-        vec![
-            format!("{:.2} / {:.2}", c.cpu_mean, c.cpu_max),
-            format!("{:.1} / {:.1}", c.memory_mean, c.memory_max),
-            format!("{:.0} / {:.0}", c.bytes_mean, c.bytes_max),
-        ]
-    };
-    let head = [
-        "daemons",
-        "entries",
-        "entry core % mean/max",
-        "MiB",
-        "bytes/s",
-        "side core %",
-        "MiB",
-        "bytes/s",
-        "log appends/s",
-        "log reads/s",
-    ];
-    let rows: Vec<_> = results
-        .iter()
-        .map(|r| {
-            let mut row = vec![r.daemons.to_string(), r.entries.to_string()];
-            row.extend(cost(&r.idle_entry));
-            row.extend(cost(&r.idle_side));
-            row.push(format!("{:.2}", r.log_appends_per_second));
-            row.push(format!("{:.2}", r.log_reads_per_second));
-            row
-        })
-        .collect();
-    println!("idle");
-    print_table(&head, &rows);
-    let head = [
-        "daemons",
-        "changes/s",
-        "changes",
-        "in force p50",
-        "p99",
-        "max",
-        "missing",
-        "entry core %",
-        "entry bytes/s",
-        "side core %",
-        "side bytes/s",
-    ];
-    let rows: Vec<_> = results
-        .iter()
-        .flat_map(|r| r.propagation.iter().map(move |p| (r.daemons, p)))
-        .map(|(daemons, p)| {
-            vec![
-                daemons.to_string(),
-                p.rate.to_string(),
-                p.changes.to_string(),
-                format!("{:.0} ms", p.in_force_ms.p50),
-                format!("{:.0} ms", p.in_force_ms.p99),
-                format!("{:.0} ms", p.in_force_ms.max),
-                p.missing.to_string(),
-                format!("{:.2} / {:.2}", p.entry.cpu_mean, p.entry.cpu_max),
-                format!("{:.0} / {:.0}", p.entry.bytes_mean, p.entry.bytes_max),
-                format!("{:.2} / {:.2}", p.side.cpu_mean, p.side.cpu_max),
-                format!("{:.0} / {:.0}", p.side.bytes_mean, p.side.bytes_max),
-            ]
-        })
-        .collect();
-    println!("changes");
-    print_table(&head, &rows);
-    let head = [
-        "daemons",
-        "killed max",
-        "frozen max",
-        "leaving max",
-        "restarted",
-        "back after",
-        "log reads",
-    ];
-    let rows: Vec<_> = results
-        .iter()
-        .map(|r| {
-            vec![
-                r.daemons.to_string(),
-                format!("{:.0} ms", r.killed_ms.max),
-                format!("{:.0} ms", r.frozen_ms.max),
-                format!("{:.0} ms", r.leaving_ms.max),
-                r.restarted.to_string(),
-                format!("{:.0} ms", r.restart_ms),
-                r.restart_log_reads.to_string(),
-            ]
-        })
-        .collect();
-    println!("hosts");
-    print_table(&head, &rows);
-}
-
-fn series(results: &[SizeResult], f: impl Fn(&SizeResult) -> f64) -> Vec<(f64, f64)> {
-    results.iter().map(|r| (r.daemons as f64, f(r))).collect()
-}
-
-fn fits(results: &[SizeResult]) -> BTreeMap<String, Fit> {
-    let mut fits = BTreeMap::new();
-    let mut add = |name: &str, f: &dyn Fn(&SizeResult) -> f64| {
-        fits.insert(name.to_owned(), fit(&series(results, f)));
-    };
-    add("idle entry core %", &|r| r.idle_entry.cpu_mean);
-    add("idle side core %", &|r| r.idle_side.cpu_mean);
-    add("idle entry bytes/s", &|r| r.idle_entry.bytes_mean);
-    add("idle side bytes/s", &|r| r.idle_side.bytes_mean);
-    add("idle entry MiB", &|r| r.idle_entry.memory_mean);
-    add("idle side MiB", &|r| r.idle_side.memory_mean);
-    add("log reads/s", &|r| r.log_reads_per_second);
-    add("in force p99 ms at 0.25/s", &|r| r.propagation[0].in_force_ms.p99);
-    add("in force p99 ms at 5/s", &|r| r.propagation[1].in_force_ms.p99);
-    add("entry core % at 0.25/s", &|r| r.propagation[0].entry.cpu_mean);
-    add("entry bytes/s at 0.25/s", &|r| r.propagation[0].entry.bytes_mean);
-    add("side bytes/s at 0.25/s", &|r| r.propagation[0].side.bytes_mean);
-    add("entry bytes/s at 5/s", &|r| r.propagation[1].entry.bytes_mean);
-    add("side core % at 0.25/s", &|r| r.propagation[0].side.cpu_mean);
-    fits
-}
-
-fn draw(results: &[SizeResult], out: &Path) -> eyre::Result<()> {
-    let line = |name: &str, f: &dyn Fn(&SizeResult) -> f64| Line {
-        name: name.to_owned(),
-        points: series(results, f),
-    };
-    plot(
-        &out.join("scale-bytes.svg"),
-        "Control bytes of a daemon when idle",
-        "daemons",
-        "bytes/s",
-        &[line("entry", &|r| r.idle_entry.bytes_mean), line("side", &|r| r.idle_side.bytes_mean)],
-    )?;
-    plot(
-        &out.join("scale-cpu.svg"),
-        "Processor time of a daemon when idle",
-        "daemons",
-        "% of a core",
-        &[line("entry", &|r| r.idle_entry.cpu_mean), line("side", &|r| r.idle_side.cpu_mean)],
-    )?;
-    plot(
-        &out.join("scale-in-force.svg"),
-        "Until a change is in force",
-        "daemons",
-        "ms",
-        &[
-            line("p50 at 0.25/s", &|r| r.propagation[0].in_force_ms.p50),
-            line("p99 at 0.25/s", &|r| r.propagation[0].in_force_ms.p99),
-            line("p50 at 5/s", &|r| r.propagation[1].in_force_ms.p50),
-            line("p99 at 5/s", &|r| r.propagation[1].in_force_ms.p99),
-        ],
-    )
-}
--- /dev/null
+++ b/lab/src/trial.rs
@@ -0,0 +1,120 @@
+//! What the experiments with decisions share.
+
+use std::time::Duration;
+
+use redwingfold::load::{Load, Pace, Shape};
+use redwingfold_standins::fleet::key_of;
+use serde_json::{Value, json};
+
+use crate::objects::sha256_of;
+use crate::world::{World, get, post};
+
+/// What an engine of a trial is like.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EngineKind {
+    pub(crate) slots: usize,
+    pub(crate) token_ms: u64,
+    pub(crate) prefill_ms: u64,
+}
+
+/// Starts entries and sides, each side with an engine that has these versions.
+pub(crate) fn start(
+    entries: usize,
+    sides: usize,
+    kind: EngineKind,
+    versions: &str,
+    entry_settings: &Value,
+    objects: &Value,
+) -> eyre::Result<World> {
+    let mut names: Vec<_> = (0..entries).map(|n| format!("entry-{n}")).collect();
+    names.extend((0..sides).map(|n| format!("gpu-{n}")));
+    let mut world = World::start(&names)?;
+    for n in 0..sides {
+        let (slots, token, prefill) =
+            (kind.slots.to_string(), kind.token_ms.to_string(), kind.prefill_ms.to_string());
+        let args = [
+            "engine",
+            "--versions",
+            versions,
+            "--slots",
+            &slots,
+            "--token-ms",
+            &token,
+            "--prefill-ms",
+            &prefill,
+        ];
+        let engine = world.backend(&format!("engine-{n}"), &args)?;
+        let backend = json!([
+            {"name": "engine-0", "address": engine, "kind": "engine", "slots": kind.slots},
+        ]);
+        let domain = format!("hall-{}", n % 3);
+        world.daemon("side", &format!("gpu-{n}"), &domain, &json!({"backends": backend}))?;
+    }
+    for n in 0..entries {
+        let mut settings = entry_settings.clone();
+        if settings["rating"].is_object() {
+            settings["rating"]["address"] = json!(world.rating.addr);
+        }
+        world.daemon("entry", &format!("entry-{n}"), &format!("hall-{}", n % 3), &settings)?;
+    }
+    world.list_hosts()?;
+    world.publish_json(objects)?;
+    world.wait_ready(sides)?;
+    Ok(world)
+}
+
+/// Returns customers with weight 1.
+pub(crate) fn customers(names: &[String]) -> Vec<Value> {
+    let customer = |name: &String| json!({"kind": "customer", "name": name, "labels": {"org": "all"}, "spec": {"key_sha256": [sha256_of(name)]}});
+    names.iter().map(customer).collect()
+}
+
+/// Makes a load by one customer on the first entry.
+pub(crate) fn load(
+    world: &World,
+    customer: &str,
+    model: &str,
+    tokens: u64,
+    pace: Pace,
+    duration: Duration,
+    seed: u64,
+) -> eyre::Result<Load> {
+    let shape = Shape {
+        model: model.to_owned(),
+        key: Some(key_of(customer)),
+        prompt_chars: 400,
+        prefixes: 16,
+        tokens,
+        stream: false,
+        headers: Vec::new(),
+    };
+    Ok(Load { addr: world.entry()?, shape, pace, duration, seed })
+}
+
+/// Sets faults of all engines.
+pub(crate) fn set_faults(world: &World, faults: &Value) -> eyre::Result<()> {
+    for backend in &world.backends {
+        post(backend.addr, "/control", faults)?;
+    }
+    Ok(())
+}
+
+/// Counts the answers that engines gave by a version; all, and the bad ones.
+pub(crate) fn answers_by(world: &World, version: &str) -> eyre::Result<(usize, usize)> {
+    let (mut all, mut bad) = (0, 0);
+    for backend in &world.backends {
+        for event in get(backend.addr, "/history")?.as_array().into_iter().flatten() {
+            if event["what"] == "end" && event["of"] == version {
+                all += 1;
+                bad += usize::from(event["detail"] == "bad");
+            }
+        }
+    }
+    Ok((all, bad))
+}
+
+/// Returns mean and greatest of some numbers.
+pub(crate) fn mean_max(values: &[f64]) -> (f64, f64) {
+    let mean = values.iter().sum::<f64>() / values.len().max(1) as f64;
+    (mean, values.iter().copied().fold(0.0, f64::max))
+}
--- a/src/bin/redwingfold-entry.rs
+++ b/src/bin/redwingfold-entry.rs
@@ -1,37 +1,8 @@
 //! The entry daemon.
 
-use std::path::PathBuf;
-
-use clap::Parser;
-use redwingfold::settings::{EntrySettings, read};
-use redwingfold::{run_entry, stop_on_signal, tls_ends};
-
-#[derive(Debug, Parser)]
-#[command(version, about = "The redwingfold entry daemon")]
-struct Args {
-    /// Settings file, JSON.
-    #[arg(long, short)]
-    settings: PathBuf,
-    /// Check the settings and the certificates, and exit.
-    #[arg(long)]
-    check: bool,
-    /// Print settings with every key set, and exit.
-    #[arg(long)]
-    example: bool,
-}
+use redwingfold::settings::EntrySettings;
+use redwingfold::{daemon_main, run_entry};
 
 fn main() -> eyre::Result<()> {
-    if std::env::args().any(|arg| arg == "--example") {
-        println!("{}", serde_json::to_string_pretty(&EntrySettings::example())?);
-        return Ok(());
-    }
-    let args = Args::parse();
-    let settings = read(&args.settings, &EntrySettings::example())?;
-    if args.check {
-        tls_ends(&settings.tls)?;
-        println!("{}: ok", args.settings.display());
-        return Ok(());
-    }
-    let stop = stop_on_signal()?;
-    smol::block_on(run_entry(settings, stop))
+    daemon_main(EntrySettings::example(), |settings| &settings.tls, run_entry)
 }
--- /dev/null
+++ b/src/daemon_main.rs
@@ -0,0 +1,55 @@
+//! What the daemons' mains share: their command line, and the check of their settings.
+
+use std::path::PathBuf;
+
+use clap::Parser;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use smol::channel::Receiver;
+
+use crate::settings::{TlsSettings, read};
+use crate::stop::stop_on_signal;
+use crate::tls::tls_ends;
+
+/// A daemon's command line.
+#[derive(Debug, Parser)]
+#[command(version)]
+struct Args {
+    /// Settings file, JSON.
+    #[arg(long, short, required_unless_present = "example")]
+    settings: Option<PathBuf>,
+    /// Check the settings and the certificates, and exit.
+    #[arg(long)]
+    check: bool,
+    /// Print settings with every key set, and exit.
+    #[arg(long)]
+    example: bool,
+}
+
+/// Runs a daemon by its command line until it is told to stop.
+///
+/// # Errors
+///
+/// What is wrong with the settings, or could not be started.
+pub fn daemon_main<S, Fut>(
+    example: S,
+    tls: impl Fn(&S) -> &TlsSettings,
+    run: impl FnOnce(S, Receiver<()>) -> Fut,
+) -> eyre::Result<()>
+where
+    S: DeserializeOwned + Serialize,
+    Fut: Future<Output = eyre::Result<()>>,
+{
+    let args = Args::parse();
+    let Some(path) = args.settings.filter(|_| !args.example) else {
+        println!("{}", serde_json::to_string_pretty(&example)?);
+        return Ok(());
+    };
+    let settings = read(&path, &example)?;
+    if args.check {
+        tls_ends(tls(&settings))?;
+        println!("{}: ok", path.display());
+        return Ok(());
+    }
+    smol::block_on(run(settings, stop_on_signal()?))
+}
--- a/src/entry/attempt.rs
+++ b/src/entry/attempt.rs
@@ -32,6 +32,7 @@
     // Dropped early, it would finish the sending half; the side reads nothing into that.
     _tx: FrameWriter<Call>,
     head: CallHead,
+    backend: String,
     link: Arc<SideLink>,
     entry: Arc<Entry>,
     hash: Xxh3,
@@ -52,6 +53,7 @@
     call: RunCall,
 ) -> Result<(RunHead, Answering), AttemptFailed> {
     let head = call.head;
+    let backend = call.backend.clone();
     link.note_sent(&call.backend);
     let count = link.link.begin_call();
     let unsent = |e: String| Failed::new(ErrorKind::NoBackend, e);
@@ -63,6 +65,7 @@
         rx: FrameReader::new(recv),
         _tx: tx,
         head,
+        backend,
         link: link.clone(),
         entry: entry.clone(),
         hash: Xxh3::new(),
@@ -127,9 +130,7 @@
             RunFrame::End(_, end)
                 if end.length == self.length && end.checksum == self.hash.digest() =>
             {
-                if let Some(load) = end.load.clone() {
-                    self.link.note_loads(vec![load]);
-                }
+                self.link.note_change(&self.backend, end.load);
                 Ok(Piece::End(end))
             }
             RunFrame::End(..) => Err(Failed::new(ErrorKind::TornFrame, "length or checksum")),
--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -1,12 +1,9 @@
 //! Chat requests: which version answers, at which engine, and again if need be.
 
-use std::collections::BTreeSet;
 use std::sync::Arc;
 
-use redwingfold_core::Health;
 use redwingfold_core::{
-    Bill, Candidate, Config, ErrorKind, Millis, Offset, PerMille, RequestId, RunState, VersionName,
-    pick, plan,
+    Bill, Config, ErrorKind, Millis, Offset, PerMille, RequestId, RunState, VersionName, plan,
 };
 use redwingfold_http::{BodySender, Response, StatusCode, channel_body};
 use serde_json::Value;
@@ -18,12 +15,13 @@
 use super::context::{Entry, UnderWay};
 use super::decisions::Trace;
 use super::hints::prefix_of;
+use super::pick::{Place, Tried, pick_backend};
 use super::quality::{is_sampled, judge};
 use super::sessions::version_of;
-use super::sides::{SideLink, usable};
+use super::sides::SideLink;
 use crate::billing::Held;
 use crate::clock::span;
-use crate::wire::{CallHead, RunCall, RunEnd, RunHead, Usage};
+use crate::wire::{CallHead, Load, RunCall, RunEnd, RunHead, Usage};
 
 /// Bytes of a streamed answer that are kept for rating it.
 const RATED_BYTES: usize = 64 * 1024;
@@ -103,10 +101,6 @@
     offset: Offset,
 }
 
-/// Backend servers that a request has been to, each by the connection that led there: a new
-/// connection to the same host may do what a silent one did not.
-type Tried = BTreeSet<(usize, String)>;
-
 /// What was spent on a request so far, and where it has been.
 struct Spent {
     attempts: u32,
@@ -329,31 +323,13 @@
         }
     }
 
-    /// Picks a backend server that has the version; those that were tried only if no other is left.
-    fn pick(&self, version: &VersionName, tried: &Tried) -> Option<(Arc<SideLink>, String)> {
-        let now = self.entry.daemon.now();
+    /// Picks a backend server that has the version and was not tried.
+    fn pick(&self, version: &VersionName, tried: &Tried) -> Option<Place> {
         let prefix = prefix_of(version, &self.req.prompt);
-        let mut candidates = Vec::new();
-        for link in usable(&self.entry) {
-            let healthy = link.link.health(now) == Health::Live;
-            for told in link.backends() {
-                let name = &told.load.backend;
-                let is_tried = tried.contains(&(link.conn.stable_id(), name.clone()));
-                if is_tried || !told.load.up || !told.load.versions.contains(version) {
-                    continue;
-                }
-                candidates.push(Candidate {
-                    id: (link.clone(), name.clone()),
-                    reported: told.load.busy,
-                    sent_since: told.sent_since,
-                    slots: told.load.slots,
-                    first_token: told.load.first_token,
-                    cached: self.entry.hints.cached(prefix, &link.host, name, now),
-                    healthy,
-                });
-            }
-        }
-        pick(&candidates, |n| fastrand::usize(0..n)).map(|c| c.id.clone())
+        let hints = &self.entry.hints;
+        let now = self.entry.daemon.now();
+        let serves = |load: &Load| load.versions.contains(version);
+        pick_backend(&self.entry, tried, serves, |host, name| hints.cached(prefix, host, name, now))
     }
 
     /// Makes the answer to the caller.
--- a/src/entry/claims.rs
+++ b/src/entry/claims.rs
@@ -8,15 +8,16 @@
 };
 
 use super::answer::Failed;
+use super::connections::reach;
 use super::context::Entry;
-use super::sides::{SideLink, reach};
+use super::sides::SideLink;
 use crate::peer::call;
 use crate::platform::{LogError, stream};
 use crate::wire::{Call, Closed, Outcome, Reply, new_claim_id};
 
 /// Partitions of the claims. A claim is followed by a read of its partition only: with all claims
 /// in one stream, each daemon would read those of all the others.
-const PARTITIONS: u128 = 4096;
+const PARTITIONS: u128 = 65_536;
 
 /// Partitions whose fold is kept.
 const MAX_FOLDS: usize = 512;
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -32,6 +32,7 @@
     pub(crate) quality: Quality,
     pub(crate) drain: Drain,
     retries: Mutex<RetryBudget>,
+    turn: AtomicUsize,
     under_way: AtomicUsize,
 }
 
@@ -59,6 +60,7 @@
             quality: Quality::default(),
             drain: Drain::default(),
             retries: Mutex::new(RetryBudget::new(per_request, f64::from(retry.budget_max))),
+            turn: AtomicUsize::new(0),
             under_way: AtomicUsize::new(0),
             daemon,
             settings,
@@ -77,6 +79,11 @@
         }
     }
 
+    /// Returns a number that goes up by one each time.
+    pub(crate) fn next_turn(&self) -> usize {
+        self.turn.fetch_add(1, Ordering::Relaxed)
+    }
+
     pub(crate) fn under_way(&self) -> usize {
         self.under_way.load(Ordering::SeqCst)
     }
--- /dev/null
+++ b/src/entry/pick.rs
@@ -0,0 +1,55 @@
+//! Which backend server gets a request.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use redwingfold_core::{Candidate, Health, HostId, pick, pick_in_turn, pick_least_reported};
+
+use super::context::Entry;
+use super::sides::{SideLink, usable};
+use crate::settings::BalancePolicy;
+use crate::wire::Load;
+
+/// Backend servers that a request has been to, each by the connection that led there: a new
+/// connection to the same host may do what a silent one did not.
+pub(crate) type Tried = BTreeSet<(usize, String)>;
+
+/// A backend server, and the connection that leads there.
+pub(crate) type Place = (Arc<SideLink>, String);
+
+/// Picks a backend server among those that `serves` accepts and that were not tried, by the
+/// settings' policy; `cached` tells the share of the prompt that one probably has in its cache.
+pub(crate) fn pick_backend(
+    entry: &Entry,
+    tried: &Tried,
+    serves: impl Fn(&Load) -> bool,
+    cached: impl Fn(&HostId, &str) -> f32,
+) -> Option<Place> {
+    let now = entry.daemon.now();
+    let mut candidates = Vec::new();
+    for link in usable(entry) {
+        let healthy = link.link.health(now) == Health::Live;
+        for told in link.backends() {
+            let load = told.load;
+            let is_tried = tried.contains(&(link.conn.stable_id(), load.backend.clone()));
+            if is_tried || !load.up || !serves(&load) {
+                continue;
+            }
+            candidates.push(Candidate {
+                reported: load.busy,
+                sent_since: told.sent_since,
+                slots: load.slots,
+                first_token: load.first_token,
+                cached: cached(&link.host, &load.backend),
+                healthy,
+                id: (link.clone(), load.backend),
+            });
+        }
+    }
+    let picked = match entry.settings.balance.policy {
+        BalancePolicy::Expected => pick(&candidates, |n| fastrand::usize(0..n)),
+        BalancePolicy::LeastReported => pick_least_reported(&candidates),
+        BalancePolicy::RoundRobin => pick_in_turn(&candidates, entry.next_turn()),
+    };
+    picked.map(|candidate| candidate.id.clone())
+}
--- a/src/entry/plain.rs
+++ b/src/entry/plain.rs
@@ -3,8 +3,7 @@
 use std::sync::Arc;
 
 use redwingfold_core::{
-    Candidate, Config, ErrorKind, Health, KeyHash, Millis, RequestId, RunState, ServiceSpec, Spec,
-    pick,
+    Config, ErrorKind, KeyHash, Millis, RequestId, RunState, ServiceSpec, Spec,
 };
 use redwingfold_http::{Response, StatusCode};
 
@@ -14,8 +13,9 @@
 use super::claims::{Claimed, claim};
 use super::context::Entry;
 use super::decisions::Trace;
-use super::sides::{SideLink, usable};
-use crate::wire::{CallHead, RunCall, Usage};
+use super::pick::{Place, Tried, pick_backend};
+use super::sides::SideLink;
+use crate::wire::{CallHead, Load, RunCall, Usage};
 
 /// Work that a plain call stands for in the fair queue, in tokens.
 const PLAIN_WORK: u64 = 100;
@@ -79,11 +79,11 @@
 
     /// Runs a call that may be repeated, at another backend server after a failure.
     async fn run_repeatable(&self, service: &str) -> Result<Response, Failed> {
-        let mut tried = Vec::new();
+        let mut tried = Tried::new();
         let mut run = RunState::NotRun;
         loop {
             let (link, backend) = self.pick(service, &tried).ok_or_else(|| no_backend(service))?;
-            tried.push((link.host.clone(), backend.clone()));
+            tried.insert((link.conn.stable_id(), backend.clone()));
             self.step("attempt", format!("{} at {}/{backend}", tried.len(), link.host));
             let call = self.call(service, &backend, tried.len() as u32);
             let failed = match self.run(&link, call).await {
@@ -102,7 +102,8 @@
     /// Runs a call that may not be repeated: one attempt, claimed first if the caller gave a key by
     /// which a repeat can be known.
     async fn run_once(&self, service: &str) -> Result<Response, Failed> {
-        let (link, backend) = self.pick(service, &[]).ok_or_else(|| no_backend(service))?;
+        let (link, backend) =
+            self.pick(service, &Tried::new()).ok_or_else(|| no_backend(service))?;
         let mut call = self.call(service, &backend, 1);
         if let Some(key) = &self.caller.idempotency_key {
             let key = KeyHash::of(&self.caller.customer, &format!("{service}\0{key}"));
@@ -162,33 +163,9 @@
         }
     }
 
-    fn pick(
-        &self,
-        service: &str,
-        tried: &[(redwingfold_core::HostId, String)],
-    ) -> Option<(Arc<SideLink>, String)> {
-        let now = self.entry.daemon.now();
-        let mut candidates = Vec::new();
-        for link in usable(&self.entry) {
-            let healthy = link.link.health(now) == Health::Live;
-            for told in link.backends() {
-                let name = told.load.backend.clone();
-                let serves = told.load.service.as_deref() == Some(service) && told.load.up;
-                if !serves || tried.contains(&(link.host.clone(), name.clone())) {
-                    continue;
-                }
-                candidates.push(Candidate {
-                    id: (link.clone(), name),
-                    reported: told.load.busy,
-                    sent_since: told.sent_since,
-                    slots: told.load.slots,
-                    first_token: told.load.first_token,
-                    cached: 0.0,
-                    healthy,
-                });
-            }
-        }
-        pick(&candidates, |n| fastrand::usize(0..n)).map(|c| c.id.clone())
+    fn pick(&self, service: &str, tried: &Tried) -> Option<Place> {
+        let serves = |load: &Load| load.service.as_deref() == Some(service);
+        pick_backend(&self.entry, tried, serves, |_, _| 0.0)
     }
 }
 
--- a/src/entry/quality.rs
+++ b/src/entry/quality.rs
@@ -4,12 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use redwingfold_core::{
-    Config, Evidence, HostId, Incarnation, ObjectKey, Offset, PerMille, SequentialTest, Spec,
-    Tally, TallyRecord, TestVerdict, VersionName, VersionSpec,
+    Config, Evidence, ObjectKey, Offset, PerMille, RatingCounter, SequentialTest, Spec, Tally,
+    TallyRecord, TestVerdict, VersionName, VersionSpec,
 };
 
 use super::context::Entry;
 use super::rollouts::withdraw;
+use crate::clock::wall;
 use crate::platform::rate;
 
 const MILLION: f64 = 1_000_000.0;
@@ -20,20 +21,32 @@
 
 #[derive(Debug, Default)]
 struct State {
-    /// By version: since when, and the ratings by kind of request.
-    own: BTreeMap<VersionName, (Offset, BTreeMap<String, Tally>)>,
+    own: BTreeMap<VersionName, Own>,
     all: Evidence,
     stopped: BTreeSet<VersionName>,
 }
 
+/// What this entry has counted of one version.
+#[derive(Debug, Default)]
+struct Own {
+    since: Offset,
+    counter: RatingCounter,
+    /// Ratings by kind of request.
+    classes: BTreeMap<String, Tally>,
+}
+
 impl State {
-    fn own_of(&self, version: &VersionName) -> (Offset, Tally) {
-        match self.own.get(version) {
-            Some((since, classes)) => {
-                (*since, classes.values().fold(Tally::default(), |sum, t| sum.plus(*t)))
-            }
-            None => (Offset(0), Tally::default()),
-        }
+    fn record(&self, entry: &Entry, version: &VersionName) -> Option<TallyRecord> {
+        let own = self.own.get(version)?;
+        Some(TallyRecord {
+            host: entry.daemon.host.clone(),
+            incarnation: entry.daemon.incarnation,
+            version: version.clone(),
+            since: own.since,
+            at: wall(),
+            total: own.counter.total(),
+            recent: own.counter.recent(),
+        })
     }
 }
 
@@ -57,7 +70,7 @@
         class: &str,
     ) -> PerMille {
         let state = self.lock();
-        let tally = state.own.get(version).and_then(|(_, classes)| classes.get(class)).copied();
+        let tally = state.own.get(version).and_then(|own| own.classes.get(class)).copied();
         tally.unwrap_or_default().lower_bound(spec.quality, spec.quality_weight)
     }
 
@@ -86,26 +99,20 @@
     /// Adds a rating.
     fn add(&self, version: &VersionName, since: Offset, class: &str, good: bool) {
         let mut state = self.lock();
-        let held = state.own.entry(version.clone()).or_default();
-        if held.0 != since {
-            *held = (since, BTreeMap::new());
+        let own = state.own.entry(version.clone()).or_default();
+        if own.since != since {
+            *own = Own { since, ..Own::default() };
         }
+        own.counter.add(good);
         let one = Tally { good: u64::from(good), bad: u64::from(!good) };
-        let tally = held.1.entry(class.to_owned()).or_default();
+        let tally = own.classes.entry(class.to_owned()).or_default();
         *tally = tally.plus(one);
     }
 
     /// Returns this entry's totals, for the ratings stream.
-    pub(crate) fn records(&self, host: &HostId, incarnation: Incarnation) -> Vec<TallyRecord> {
+    pub(crate) fn records(&self, entry: &Entry) -> Vec<TallyRecord> {
         let state = self.lock();
-        let records = state.own.iter().map(|(version, (since, _))| TallyRecord {
-            host: host.clone(),
-            incarnation,
-            version: version.clone(),
-            since: *since,
-            tally: state.own_of(version).1,
-        });
-        records.collect()
+        state.own.keys().filter_map(|version| state.record(entry, version)).collect()
     }
 
     /// Folds what the ratings stream has.
@@ -120,20 +127,19 @@
         self.lock().all.offset()
     }
 
-    /// Returns what all entries have counted of a version, with the newest of this one.
-    pub(crate) fn evidence(&self, entry: &Entry, version: &VersionName, since: Offset) -> Tally {
+    /// Returns what all entries have counted of a version, in all and lately, with the newest of
+    /// this one.
+    pub(crate) fn evidence(
+        &self,
+        entry: &Entry,
+        version: &VersionName,
+        since: Offset,
+    ) -> (Tally, Tally) {
         let mut state = self.lock();
-        let (own_since, tally) = state.own_of(version);
-        let host = entry.daemon.host.clone();
-        let incarnation = entry.daemon.incarnation;
-        state.all.add(TallyRecord {
-            host,
-            incarnation,
-            version: version.clone(),
-            since: own_since,
-            tally,
-        });
-        state.all.of(version, since)
+        if let Some(record) = state.record(entry, version) {
+            state.all.add(record);
+        }
+        (state.all.total(version, since), state.all.recent(version, since, wall()))
     }
 
     /// Notes that a version is stopped; says whether it was not before.
@@ -179,7 +185,8 @@
 pub(crate) fn test_version(entry: &Arc<Entry>, version: &VersionName) {
     let rating = &entry.settings.rating;
     let config = entry.daemon.store.current();
-    let tally = entry.quality.evidence(entry, version, in_service_since(&config, version));
+    let since = in_service_since(&config, version);
+    let (_, tally) = entry.quality.evidence(entry, version, since);
     let alpha = f64::from(rating.false_stop_per_million) / MILLION;
     let test = SequentialTest::new(PerMille(rating.allowed_bad_per_mille), alpha);
     let in_service = config.version(version).is_some_and(|spec| spec.withdrawn_at.is_none());
--- a/src/entry/rollouts.rs
+++ b/src/entry/rollouts.rs
@@ -19,18 +19,19 @@
 /// Tells the others what this entry has counted, takes in what they have, and acts by the sum, for
 /// ever: one batch each few seconds, and none where nothing was rated.
 pub(crate) async fn follow_ratings(entry: &Arc<Entry>) {
-    let mut told = Vec::new();
+    let mut told = 0;
     if entry.settings.rating.address.is_none() {
         return;
     }
     loop {
         Timer::after(jittered(entry.settings.batch.every_ms)).await;
-        let records = entry.quality.records(&entry.daemon.host, entry.daemon.incarnation);
-        if records != told {
+        let records = entry.quality.records(entry);
+        let rated = records.iter().map(|r| r.total.rated()).sum::<u64>();
+        if rated != told {
             let json = serde_json::to_vec(&records).unwrap_or_default();
             // One without a clear answer is told again with the next totals.
             if entry.daemon.log.append(stream::RATINGS, json).await.is_ok() {
-                told = records;
+                told = rated;
             }
         }
         let from = Offset(entry.quality.folded().0 + 1);
@@ -61,7 +62,7 @@
             continue;
         }
         let since = in_service_since(config, &rollout.to);
-        let tally = entry.quality.evidence(entry, &rollout.to, since);
+        let (tally, _) = entry.quality.evidence(entry, &rollout.to, since);
         let next = next_step(
             &rollout.steps,
             rollout.share,
--- a/src/entry/sides.rs
+++ b/src/entry/sides.rs
@@ -1,30 +1,17 @@
-//! Connections to the sides.
+//! The sides that this entry is connected to, and what they told.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use quinn::{Connection, Endpoint, VarInt};
-use redwingfold_core::{Bill, Health, KeyHash, PinKey};
-use redwingfold_core::{HostId, Incarnation, Member, Millis, pin_holders, rank, sides_of_entry};
-use smol::Timer;
+use quinn::{Connection, Endpoint};
+use redwingfold_core::{Health, HostId, Incarnation, Member, PinKey, pin_holders};
 
 use super::context::Entry;
-use super::sessions::sweep;
-use crate::billing::Held;
-use crate::clock::{jittered, span};
 use crate::daemon::Daemon;
-use crate::peer::{Connected, Link, LinkEvents, connect, dial, run_control};
+use crate::peer::Link;
 use crate::platform::{HostRecord, HostState};
-use crate::wire::{Control, FrameReader, FrameWriter, Load};
-
-/// Pause between looks whether a replaced connection is needed still.
-const UNNEEDED_POLL: Millis = Millis(200);
-
-const FIRST_BACKOFF: Millis = Millis(100);
-
-/// Seed of the ranking that gives all entries the same keepers.
-const KEEPER_SEED: &str = "keepers";
+use crate::wire::{Load, LoadChange};
 
 /// A backend server as its side last told of it.
 #[derive(Clone, Debug)]
@@ -47,6 +34,30 @@
 }
 
 impl SideLink {
+    /// Makes a link; the endpoint must live as long as the connection.
+    pub(crate) fn new(
+        host: HostId,
+        incarnation: Incarnation,
+        conn: Connection,
+        endpoint: Endpoint,
+        link: Link,
+    ) -> Self {
+        Self {
+            host,
+            incarnation,
+            conn,
+            link: Arc::new(link),
+            leaving: AtomicBool::new(false),
+            told: Mutex::default(),
+            _endpoint: endpoint,
+        }
+    }
+
+    /// Notes that the side is leaving; says whether that is new.
+    pub(crate) fn leave(&self) -> bool {
+        !self.leaving.swap(true, Ordering::Relaxed)
+    }
+
     fn lock(&self) -> MutexGuard<'_, BTreeMap<String, Told>> {
         self.told.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -59,6 +70,15 @@
         }
     }
 
+    /// Takes what an answer told of its backend server.
+    pub(crate) fn note_change(&self, backend: &str, change: LoadChange) {
+        if let Some(told) = self.lock().get_mut(backend) {
+            told.load.busy = change.busy;
+            told.load.first_token = change.first_token;
+            told.sent_since = 0;
+        }
+    }
+
     /// Notes that a request was sent to a backend server.
     pub(crate) fn note_sent(&self, backend: &str) {
         if let Some(told) = self.lock().get_mut(backend) {
@@ -109,18 +129,26 @@
         self.lock().get(host).cloned()
     }
 
-    fn put(&self, link: &Arc<SideLink>) {
+    pub(crate) fn put(&self, link: &Arc<SideLink>) {
         self.lock().insert(link.host.clone(), link.clone());
     }
 
     /// Takes a link out, unless another has taken its place.
-    fn remove(&self, link: &Arc<SideLink>) {
+    pub(crate) fn remove(&self, link: &Arc<SideLink>) {
         let mut links = self.lock();
         if links.get(&link.host).is_some_and(|held| Arc::ptr_eq(held, link)) {
             links.remove(&link.host);
         }
     }
 
+    /// Sets the sides that hold sessions; says whether they are others than before.
+    pub(crate) fn set_keepers(&self, keepers: Vec<Member>) -> bool {
+        let mut held = self.keepers.lock().unwrap_or_else(PoisonError::into_inner);
+        let is_new = **held != keepers;
+        *held = Arc::new(keepers);
+        is_new
+    }
+
     /// Returns the holders of a session's pin, the first to be asked first.
     pub(crate) fn holders(
         &self,
@@ -134,7 +162,7 @@
 }
 
 /// Says whether a host may be given new work, going by the host list.
-fn is_live(hosts: &[HostRecord], host: &HostId) -> bool {
+pub(crate) fn is_live(hosts: &[HostRecord], host: &HostId) -> bool {
     hosts.iter().any(|h| h.host == *host && h.state == HostState::Live)
 }
 
@@ -148,213 +176,3 @@
     links.retain(|l| !l.is_leaving() && is_live(&hosts, &l.host));
     links
 }
-
-/// A connection for a few calls; one that was opened for them ends with this.
-pub(crate) struct Reached {
-    pub(crate) conn: Connection,
-    _endpoint: Option<Endpoint>,
-}
-
-/// Returns a connection to a side, be it among this entry's sides or not.
-pub(crate) async fn reach(entry: &Entry, host: &HostId) -> Option<Reached> {
-    if let Some(link) = entry.sides.get(host) {
-        return Some(Reached { conn: link.conn.clone(), _endpoint: None });
-    }
-    let hosts = entry.daemon.hosts.current();
-    let record = hosts.iter().find(|h| h.host == *host && h.is_side())?;
-    let timeout = entry.settings.peers.connect_timeout_ms;
-    let (endpoint, conn) = dial(&entry.client, record.address, timeout).await.ok()?;
-    Some(Reached { conn, _endpoint: Some(endpoint) })
-}
-
-/// Keeps connections to this entry's sides, for ever.
-pub(crate) async fn keep_connected(entry: Arc<Entry>) {
-    let mut connecting: BTreeMap<HostId, (HostRecord, smol::Task<()>)> = BTreeMap::new();
-    loop {
-        let changed = entry.daemon.hosts.changed();
-        let hosts = entry.daemon.hosts.current();
-        let wanted = wanted_sides(&entry, &hosts);
-        // A side that leaves stays connected until it closes: its streams under way go on.
-        connecting.retain(|host, (record, _)| {
-            hosts.iter().any(|h| h.host == *host && h.address == record.address)
-                && (wanted.contains(host) || !is_live(&hosts, host))
-        });
-        for record in hosts.iter().filter(|h| wanted.contains(&h.host)) {
-            connecting.entry(record.host.clone()).or_insert_with(|| {
-                let task = smol::spawn(stay_connected(entry.clone(), record.clone()));
-                (record.clone(), task)
-            });
-        }
-        changed.await;
-    }
-}
-
-fn wanted_sides(entry: &Arc<Entry>, hosts: &[HostRecord]) -> BTreeSet<HostId> {
-    let peers = &entry.settings.peers;
-    let live = || hosts.iter().filter(|h| h.state == HostState::Live);
-    let sides: Vec<_> = live().filter(|h| h.is_side()).map(HostRecord::pooled).collect();
-    let entries: Vec<_> = live().filter(|h| !h.is_side()).map(HostRecord::member).collect();
-    let members: Vec<_> = sides.iter().map(|side| side.member.clone()).collect();
-    let keepers: Vec<_> =
-        rank(KEEPER_SEED, &members).into_iter().take(peers.keepers).cloned().collect();
-    let own = &entry.daemon.host;
-    let mut wanted = sides_of_entry(own, &entries, &sides, peers.fan_in, peers.per_pool);
-    wanted.extend(keepers.iter().map(|m| m.host.clone()));
-    let mut held = entry.sides.keepers.lock().unwrap_or_else(PoisonError::into_inner);
-    if **held != keepers {
-        *held = Arc::new(keepers);
-        smol::spawn(sweep(entry.clone())).detach();
-    }
-    wanted
-}
-
-/// Connects to a side again and again, each time after a longer pause, with jitter: sixty that
-/// begin at once must not come back in step.
-async fn stay_connected(entry: Arc<Entry>, record: HostRecord) {
-    let mut backoff = FIRST_BACKOFF;
-    let mut next: Option<Connected> = None;
-    loop {
-        let connected = match next.take() {
-            Some(connected) => Ok(connected),
-            None => open(&entry, &record).await,
-        };
-        match connected {
-            Ok(connected) => {
-                backoff = FIRST_BACKOFF;
-                next = hold(&entry, &record, connected).await;
-            }
-            Err(why) => {
-                entry.daemon.telemetry.count("side.connect_failed", 1);
-                entry
-                    .daemon
-                    .telemetry
-                    .info("side_unreachable", &[("host", &record.host), ("why", &why)]);
-            }
-        }
-        if next.is_none() {
-            Timer::after(jittered(backoff)).await;
-            backoff = Millis((backoff.0 * 2).min(entry.settings.peers.max_backoff_ms.0));
-        }
-    }
-}
-
-async fn open(entry: &Entry, record: &HostRecord) -> Result<Connected, String> {
-    let timeout = entry.settings.peers.connect_timeout_ms;
-    let hello = entry.daemon.hello();
-    let connected =
-        connect(&entry.client, record.address, timeout, hello).await.map_err(|e| e.to_string())?;
-    match connected.hello.host == record.host {
-        true => Ok(connected),
-        // The address went to another host, and the list is behind.
-        false => Err(format!("answers as {}", connected.hello.host)),
-    }
-}
-
-/// Holds a connection until it ends; returns the one that takes its place, if there is one.
-async fn hold(entry: &Arc<Entry>, record: &HostRecord, connected: Connected) -> Option<Connected> {
-    let link = Arc::new(SideLink {
-        host: record.host.clone(),
-        incarnation: connected.hello.incarnation,
-        conn: connected.conn,
-        link: Arc::new(Link::new(&entry.daemon, true)),
-        leaving: AtomicBool::new(false),
-        told: Mutex::default(),
-        _endpoint: connected.endpoint,
-    });
-    entry.sides.put(&link);
-    entry
-        .daemon
-        .telemetry
-        .info("side_connected", &[("host", &link.host), ("incarnation", &link.incarnation)]);
-    smol::spawn(sweep(entry.clone())).detach();
-    let control = smol::spawn(control(entry.clone(), link.clone(), connected.tx, connected.rx));
-    let next = smol::future::or(
-        async {
-            link.dead(&entry.daemon).await;
-            None
-        },
-        watch(entry, record, &link),
-    )
-    .await;
-    entry.sides.remove(&link);
-    // Answers under way on a connection that was replaced go on; it ends with the last of them.
-    control.detach();
-    next
-}
-
-/// Runs the control stream of a connection until it is dead, or was replaced and is not needed.
-async fn control(
-    entry: Arc<Entry>,
-    link: Arc<SideLink>,
-    tx: FrameWriter<Control>,
-    rx: FrameReader<Control>,
-) {
-    let events = LinkEvents {
-        on_beat: &|leaving, loads| {
-            if leaving && !link.leaving.swap(true, Ordering::Relaxed) {
-                entry.daemon.telemetry.info("side_leaving", &[("host", &link.host)]);
-            }
-            link.note_loads(loads);
-        },
-        on_confirmed: &|ids| entry.bills.forget(&ids),
-        on_hold: &|bills| take_over(&entry, bills),
-        on_held: &|_| {},
-        is_leaving: &|| entry.drain.is_draining(),
-        loads: &Vec::new,
-    };
-    let peer = link.host.to_string();
-    let run = async {
-        let why =
-            run_control(&entry.daemon, &link.link, (&peer, &link.conn), tx, rx, &events).await;
-        entry.daemon.telemetry.info("side_gone", &[("host", &link.host), ("why", &why)]);
-    };
-    let unneeded = async {
-        link.given_up(&entry.daemon).await;
-        while Arc::strong_count(&link) > 1 {
-            Timer::after(span(UNNEEDED_POLL)).await;
-        }
-    };
-    smol::future::or(run, unneeded).await;
-    link.link.give_up();
-    link.conn.close(VarInt::from_u32(0), b"over");
-}
-
-/// Waits until the connection is silent, and opens another beside it.
-///
-/// The peer may be well and only this connection dead: a new one tells the two apart sooner than
-/// any waiting. If the old one speaks again first, it stays.
-async fn watch(entry: &Entry, record: &HostRecord, link: &SideLink) -> Option<Connected> {
-    let daemon = &entry.daemon;
-    loop {
-        link.link.until(daemon, |health| health != Health::Live).await;
-        daemon.telemetry.count("side.suspected", 1);
-        daemon.telemetry.info("side_suspected", &[("host", &link.host)]);
-        let spare = open(entry, record).await;
-        match (spare, link.link.health(daemon.now())) {
-            (_, Health::Live) => {
-                daemon.telemetry.count("side.false_suspicion", 1);
-                daemon.telemetry.info("side_back", &[("host", &link.host)]);
-            }
-            (Ok(spare), _) => {
-                link.link.replace();
-                daemon.telemetry.info("side_replaced", &[("host", &link.host)]);
-                return Some(spare);
-            }
-            (Err(_), Health::Dead) => return None,
-            (Err(_), Health::Suspect) => {
-                Timer::after(span(Millis(daemon.heartbeat.interval_ms.0 / 2))).await;
-            }
-        }
-    }
-}
-
-fn take_over(entry: &Entry, bills: Vec<Bill>) -> Vec<KeyHash> {
-    let mut held = Vec::new();
-    for bill in bills {
-        let id = bill.id;
-        if entry.bills.hold(Held { bill, side: None }, Millis(0)).is_ok() {
-            held.push(id);
-        }
-    }
-    held
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 mod config_store;
 pub mod ctl;
 mod daemon;
+mod daemon_main;
 mod entry;
 pub mod load;
 mod peer;
@@ -20,6 +21,7 @@
 mod tls;
 mod wire;
 
+pub use daemon_main::daemon_main;
 pub use entry::run_entry;
 pub use side::run_side;
 pub use stop::stop_on_signal;
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -41,6 +41,9 @@
     /// What callers may take up.
     #[serde(default)]
     pub limits: LimitSettings,
+    /// Choice of backend servers.
+    #[serde(default)]
+    pub balance: BalanceSettings,
     /// Repeated attempts.
     #[serde(default)]
     pub retry: RetrySettings,
@@ -87,6 +90,7 @@
             heartbeat: HeartbeatSettings::default(),
             batch: BatchSettings::default(),
             limits: LimitSettings::default(),
+            balance: BalanceSettings::default(),
             retry: RetrySettings::default(),
             sessions: SessionSettings::default(),
             rating: RatingSettings::default(),
@@ -138,6 +142,27 @@
     }
 }
 
+/// How a backend server is chosen among those that may serve a request.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum BalancePolicy {
+    /// The better of two by the expected time to the first token.
+    #[default]
+    Expected,
+    /// The least reported load; a baseline.
+    LeastReported,
+    /// Each in turn; a baseline.
+    RoundRobin,
+}
+
+/// Choice of backend servers.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub struct BalanceSettings {
+    /// How one is chosen.
+    pub policy: BalancePolicy,
+}
+
 /// Repeated attempts.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(default)]
--- a/src/settings/mod.rs
+++ b/src/settings/mod.rs
@@ -11,6 +11,9 @@
     TlsSettings,
 };
 pub use ctl::CtlSettings;
-pub use entry::{EntrySettings, LimitSettings, RatingSettings, RetrySettings, SessionSettings};
+pub use entry::{
+    BalancePolicy, BalanceSettings, EntrySettings, LimitSettings, RatingSettings, RetrySettings,
+    SessionSettings,
+};
 pub use parse::{SettingsError, parse, read};
 pub use side::{BackendKind, BackendSettings, OrderSettings, QueueSettings, SideSettings};
--- a/src/side/run.rs
+++ b/src/side/run.rs
@@ -15,7 +15,9 @@
 use crate::billing::Held;
 use crate::clock::{span, wall, within};
 use crate::platform::{engine_request, last_usage, plain_request};
-use crate::wire::{FrameWriter, RunCall, RunEnd, RunFailed, RunFrame, RunHead, Usage, WireError};
+use crate::wire::{
+    FrameWriter, LoadChange, RunCall, RunEnd, RunFailed, RunFrame, RunHead, Usage, WireError,
+};
 
 /// Bytes read from a backend server at once.
 const READ_BYTES: usize = 16 * 1024;
@@ -248,7 +250,7 @@
         checksum: copied.checksum,
         usage,
         bill,
-        load: Some(backend.load()),
+        load: LoadChange::from(&backend.load()),
     };
     tx.send(&RunFrame::End(call.head, Box::new(end))).await?;
     side.daemon.telemetry.count("run.done", 1);
--- a/src/wire/message.rs
+++ b/src/wire/message.rs
@@ -52,6 +52,20 @@
     pub(crate) up: bool,
 }
 
+/// What changes in a backend server's load from request to request. The rest of a [`Load`] would be
+/// a hundred bytes with each answer.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct LoadChange {
+    pub(crate) busy: u32,
+    pub(crate) first_token: Millis,
+}
+
+impl From<&Load> for LoadChange {
+    fn from(load: &Load) -> Self {
+        Self { busy: load.busy, first_token: load.first_token }
+    }
+}
+
 /// A heartbeat. It also carries what changed since the last one.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct Beat {
@@ -186,7 +200,7 @@
     pub(crate) checksum: u64,
     pub(crate) usage: Usage,
     pub(crate) bill: Option<Bill>,
-    pub(crate) load: Option<Load>,
+    pub(crate) load: LoadChange,
 }
 
 /// End of an answer that is not whole, or of a request that was refused.
