test(exposure): allow refusals once the two entries have told each other

The verdict depended on timing. Change: the last requests may be refused as version_withdrawn; that the version is withdrawn by the sum is asserted as before.

--- a/tests/exposure.rs
+++ b/tests/exposure.rs
@@ -100,7 +100,9 @@
     for n in 0..10 {
         let answered =
             fleet.caller(n % 2).send_blocking(&Ask::chat("ani", "slip", &format!("slip {n}")));
-        assert_eq!(answered.status, 200, "{}", answered.text());
+        // The entries tell each other while this goes on, so that the last ones may be refused.
+        let is_refused = answered.error_code().0 == "version_withdrawn";
+        assert!(answered.status == 200 || is_refused, "{}", answered.text());
     }
     wait_until("it is withdrawn", || is_withdrawn(&fleet, "slip-1"));
 }
