fix(entry): let go of hosts that are not wanted any more

Cause: found while reading: the task that holds a connection is dropped when its host leaves the wanted set, and the lines that take the link out came after its await, so they never ran. The link stayed among those that get new work, watched by nobody, until QUIC gave it up. Ruled out by the new test: that the host list filter covers it (it does for hosts that are gone, not for those that are live and wanted no more). Change: a guard takes the link out however the task ends; the control stream goes on by itself until the last answer.

--- a/src/entry/connections.rs
+++ b/src/entry/connections.rs
@@ -138,19 +138,30 @@
         .telemetry
         .info("side_connected", &[("host", &link.host), ("incarnation", &link.incarnation)]);
     smol::spawn(sweep(entry.clone())).detach();
-    let control = smol::spawn(control(entry.clone(), link.clone(), connected.tx, connected.rx));
-    let next = smol::future::or(
-        async {
-            link.dead(&entry.daemon).await;
-            None
-        },
-        watch(entry, record, &link),
-    )
-    .await;
-    entry.sides.remove(&link);
-    // Answers under way on a connection that was replaced go on; it ends with the last of them.
-    control.detach();
-    next
+    // It ends by itself, with the last answer on the connection.
+    smol::spawn(control(entry.clone(), link.clone(), connected.tx, connected.rx)).detach();
+    let _listed = Listed { entry: entry.clone(), link: link.clone() };
+    let dead = async {
+        link.dead(&entry.daemon).await;
+        None
+    };
+    smol::future::or(dead, watch(entry, record, &link)).await
+}
+
+/// Keeps a link among those that get new work, until it is dropped.
+///
+/// The task that holds a link is dropped when its host is not wanted any more. Were the link not
+/// taken out then, requests would go on to a connection that nobody watches, and be lost with it.
+struct Listed {
+    entry: Arc<Entry>,
+    link: Arc<SideLink>,
+}
+
+impl Drop for Listed {
+    fn drop(&mut self) {
+        self.entry.sides.remove(&self.link);
+        self.link.link.replace();
+    }
 }
 
 /// Runs the control stream of a connection until it is dead, or was replaced and is not needed.
--- a/src/load/driver.rs
+++ b/src/load/driver.rs
@@ -22,7 +22,7 @@
     pub key: Option<String>,
     /// Characters of the prompt.
     pub prompt_chars: usize,
-    /// Different beginnings of prompts; requests share them in turn.
+    /// Different beginnings of prompts, which requests share.
     pub prefixes: usize,
     /// Tokens of an answer.
     pub tokens: u64,
@@ -35,7 +35,9 @@
 impl Shape {
     /// Returns the body of the `n`th request.
     pub fn body(&self, n: u64) -> String {
-        let prefix = format!("prefix {} ", n as usize % self.prefixes.max(1));
+        // Not in turn: with four engines in turn too, each would see a quarter of the beginnings.
+        let drawn = xxhash_rust::xxh3::xxh3_64(&n.to_be_bytes()) as usize;
+        let prefix = format!("prefix {} ", drawn % self.prefixes.max(1));
         let mut prompt = prefix.repeat(self.prompt_chars / prefix.len() + 1);
         prompt.truncate(self.prompt_chars);
         let message = json!({"role": "user", "content": format!("{prompt} request {n}")});
--- a/src/peer/mod.rs
+++ b/src/peer/mod.rs
@@ -3,6 +3,8 @@
 mod connect;
 mod control;
 mod serve;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use connect::{Connected, call, connect, dial};
 pub(crate) use control::{CallCount, Link, LinkEvents, run_control};
--- a/standins/src/fleet/launch.rs
+++ b/standins/src/fleet/launch.rs
@@ -20,6 +20,7 @@
 use crate::service::Service;
 use crate::tcp_proxy::TcpProxy;
 use crate::udp_proxy::UdpProxy;
+use crate::weight_store::WeightStore;
 
 /// Longest wait for anything that must come about.
 const PATIENCE: Duration = Duration::from_secs(30);
@@ -59,6 +60,8 @@
     pub hosts: HostList,
     /// The rating service.
     pub rating: Rating,
+    /// The weight store.
+    pub weights: WeightStore,
     /// Engines, by the host of their side.
     pub engines: BTreeMap<String, Engine>,
     /// Plain services, by the host of their side.
@@ -143,6 +146,7 @@
             log: LogService::start(any, 1).expect("log"),
             hosts: HostList::start(any).expect("hosts"),
             rating: Rating::start(any).expect("rating"),
+            weights: WeightStore::start(any).expect("weight store"),
             engines: BTreeMap::new(),
             services: BTreeMap::new(),
             daemons: BTreeMap::new(),
@@ -280,6 +284,9 @@
             }
             _ => json!([]),
         };
+        if settings["orders"]["weight_store"] == true {
+            settings["orders"]["weight_store"] = json!(self.weights.addr);
+        }
         self.launch(host, domain, "side", &settings);
     }
 
--- a/standins/src/weight_store.rs
+++ b/standins/src/weight_store.rs
@@ -24,6 +24,7 @@
     pub addr: SocketAddr,
     /// Loads and refusals.
     pub history: History,
+    control: Arc<Mutex<Control>>,
     _task: Arc<smol::Task<()>>,
 }
 
@@ -37,9 +38,9 @@
         let control = Arc::new(Mutex::new(Control { outage: false, loads_per_minute: 60 }));
         let last = Arc::new(Mutex::new(None::<Instant>));
         let history = History::default();
-        let events = history.clone();
+        let (events, inner) = (history.clone(), control.clone());
         let (addr, task) = serve::start(addr, move |mut req: Request, _| {
-            let (control, last, events) = (control.clone(), last.clone(), events.clone());
+            let (control, last, events) = (inner.clone(), last.clone(), events.clone());
             async move {
                 let lock = || control.lock().unwrap_or_else(PoisonError::into_inner);
                 let (get, set) = (|| *lock(), |new| *lock() = new);
@@ -61,6 +62,12 @@
                 serve::json(&json!({"ok": true}))
             }
         })?;
-        Ok(Self { addr, history, _task: Arc::new(task) })
+        Ok(Self { addr, history, control, _task: Arc::new(task) })
+    }
+
+    /// Sets the loads that are granted in a minute.
+    pub fn set_rate(&self, loads_per_minute: u32) {
+        let mut control = self.control.lock().unwrap_or_else(PoisonError::into_inner);
+        control.loads_per_minute = loads_per_minute;
     }
 }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -12,11 +12,14 @@
 const HOSTS: [&str; 4] = ["gpu-1", "gpu-2", "gpu-3", "gpu-4"];
 
 fn fleet(engine_settings: &EngineSettings) -> Fleet {
-    let mut builder = builder().settings("side", "orders", json!({"every_ms": 100}));
+    let orders = json!({"every_ms": 100, "weight_store": true});
+    let mut builder = builder().settings("side", "orders", orders);
     for host in HOSTS {
         builder = builder.engine(host, engine_settings.clone());
     }
-    builder.start(&objects())
+    let fleet = builder.start(&objects());
+    fleet.weights.set_rate(600);
+    fleet
 }
 
 fn place(fleet: &Fleet, versions: &[&str]) {
@@ -72,6 +75,8 @@
     assert_eq!(served.status, 200, "{}", served.text());
     wait_until("all have it", || all_have(&fleet, &["slip-1", "slip-2"]));
     assert_eq!(most_at_once(&fleet), 1);
+    let granted = fleet.weights.history.of("load").len();
+    assert!(granted >= HOSTS.len(), "{granted} loads were granted by the weight store");
     // A version that is placed no more is unloaded, which needs no turn.
     place(&fleet, &["slip-2"]);
     wait_until("all have only it", || all_have(&fleet, &["slip-2"]));
--- a/tests/promise_leaving.rs
+++ b/tests/promise_leaving.rs
@@ -68,3 +68,27 @@
     assert!(late.len() <= 6, "more than the callers had under way: {late:?}");
     assert!(calls.iter().all(|c| c.answered.status == 200));
 }
+
+/// A host that is gone from the list is gone from the entries: requests are not sent on a connection
+/// that nobody watches any more. Its stream under way goes on to its end.
+#[test]
+fn a_host_that_is_listed_no_more_is_let_go() {
+    let fleet = fleet();
+    let sides = || fleet.daemon_status("entry-0")["sides"].to_string();
+    assert!(sides().contains("gpu-1"));
+    let caller = fleet.caller(0);
+    let streams: Vec<_> = (0..6)
+        .map(|n| {
+            let ask = Ask::chat("ani", "slip", &format!("long {n}")).stream(600);
+            std::thread::spawn(move || caller.send_blocking(&ask))
+        })
+        .collect();
+    wait_until("a stream runs there", || !fleet.engines["gpu-1"].history.of("run").is_empty());
+    fleet.hosts.update(Duration::ZERO, |hosts| hosts.retain(|h| h.host != "gpu-1"));
+    wait_until("it is let go", || !sides().contains("gpu-1"));
+    for stream in streams {
+        assert!(stream.join().expect("caller").is_whole_stream());
+    }
+    fleet.list_hosts(Duration::ZERO);
+    wait_until("it is taken again", || sides().contains("gpu-1"));
+}
