feat(standins): engines with priorities, resume and cache events; ids on every answer

Change: the engine's stand-in runs the most urgent first, goes on with broken streams from a token, and publishes cache events late and with gaps; ids on refusals and probes; a test that reads StatsD datagrams.

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -1,7 +1,5 @@
 //! Answers to callers.
 
-use std::sync::Arc;
-
 use redwingfold_core::{ErrorKind, Millis, RequestId, RunState, VersionName};
 use redwingfold_http::{Refusal, Response, StatusCode};
 use serde_json::json;
@@ -44,8 +42,9 @@
 }
 
 impl Facts {
-    pub(crate) fn new(request: RequestId) -> Arc<std::sync::Mutex<Self>> {
-        Arc::new(std::sync::Mutex::new(Self { request, version: None, moved_from: None }))
+    /// Makes the facts of a request that has just come.
+    pub(crate) fn of_new_request() -> Self {
+        Self { request: RequestId(fastrand::u128(..)), version: None, moved_from: None }
     }
 
     /// Writes the facts into an answer's head. The decision is kept under the request's id.
@@ -99,7 +98,9 @@
         Refusal::SlowSender => ErrorKind::SlowSender,
         Refusal::TooManyOpen => ErrorKind::TooManyOpen,
     };
-    error_answer(&Failed::new(kind, "the request's head"))
+    let mut res = error_answer(&Failed::new(kind, "the request's head"));
+    Facts::of_new_request().mark(&mut res);
+    res
 }
 
 pub(crate) fn json_answer(body: &serde_json::Value) -> Response {
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -1,6 +1,6 @@
 //! The paths that an entry serves to callers.
 
-use std::sync::{Arc, PoisonError};
+use std::sync::{Arc, Mutex, PoisonError};
 
 use redwingfold_core::{ErrorKind, Millis, RequestId, Spec, VersionName};
 use redwingfold_http::{Peer, Request, Response};
@@ -22,15 +22,20 @@
 
 /// Answers a caller's request.
 pub(crate) async fn handle(entry: Arc<Entry>, req: Request, peer: Peer) -> Response {
-    match req.url().path() {
-        LIVE_PATH => return json_answer(&json!({"live": true})),
-        READY_PATH => return ready(&entry),
-        _ => {}
+    let facts = Facts::of_new_request();
+    let probe = match req.url().path() {
+        LIVE_PATH => Some(json_answer(&json!({"live": true}))),
+        READY_PATH => Some(ready(&entry)),
+        _ => None,
+    };
+    if let Some(mut res) = probe {
+        facts.mark(&mut res);
+        return res;
     }
-    let request = RequestId(fastrand::u128(..));
+    let request = facts.request;
     let begun = entry.daemon.now();
     let trace = entry.decisions.begin(request, wall(), begun);
-    let facts = Facts::new(request);
+    let facts = Arc::new(Mutex::new(facts));
     let (method, path) = (req.method().to_string(), req.url().path().to_owned());
     let answered = Box::pin(route(&entry, req, &peer, &facts, &trace)).await;
     let now = entry.daemon.now();
@@ -68,7 +73,7 @@
     res
 }
 
-type SharedFacts = Arc<std::sync::Mutex<Facts>>;
+type SharedFacts = Arc<Mutex<Facts>>;
 
 async fn route(
     entry: &Arc<Entry>,
--- a/standins/src/engine.rs
+++ b/standins/src/engine.rs
@@ -1,6 +1,6 @@
 //! A model engine: batches continuously, caches prompt prefixes, reports its load late.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -69,6 +69,8 @@
     pub lie: Option<usize>,
     /// Refuses every request with 500.
     pub fail: bool,
+    /// Of 1,000 cache events, how many are never published.
+    pub lose_events: u32,
 }
 
 #[derive(Debug)]
@@ -79,6 +81,13 @@
     waiting: usize,
     reports: VecDeque<(Instant, usize, usize)>,
     cache: VecDeque<String>,
+    /// Prefixes that were cached or evicted, with the time from which that is published.
+    cache_events: Vec<(Instant, Value)>,
+    /// Priorities of those who wait, with the order in which they came.
+    queue: BTreeSet<(u8, u64)>,
+    next_ticket: u64,
+    /// Streams that broke off, by request, for resuming them.
+    broken: BTreeMap<String, (Run, u64)>,
     fence: u64,
     rng: fastrand::Rng,
 }
@@ -96,6 +105,9 @@
 
 const PREFIX_CHARS: usize = 64;
 const DEFAULT_TOKENS: u64 = 8;
+const MAX_CACHE_EVENTS: usize = 1_000;
+const MAX_BROKEN: usize = 100;
+const DEFAULT_PRIORITY: u8 = 5;
 const QUEUE_POLL: Duration = Duration::from_millis(1);
 
 /// Returns the token at an index of a request's answer: it names version and request, so that a
@@ -131,6 +143,10 @@
             waiting: 0,
             reports: VecDeque::new(),
             cache: VecDeque::new(),
+            cache_events: Vec::new(),
+            queue: BTreeSet::new(),
+            next_ticket: 0,
+            broken: BTreeMap::new(),
             fence: 0,
         }));
         let history = History::default();
@@ -179,13 +195,31 @@
             Some(i) => self.cache.remove(i).is_some(),
             None => false,
         };
+        if !hit {
+            self.cache_event("cached", &key);
+        }
         self.cache.push_back(key);
         while self.cache.len() > self.settings.cache {
-            self.cache.pop_front();
+            if let Some(old) = self.cache.pop_front() {
+                self.cache_event("evicted", &old);
+            }
         }
         hit
     }
 
+    /// Publishes an event late, or never: its number is used up all the same, so that there is a gap.
+    fn cache_event(&mut self, what: &str, key: &str) {
+        let number = self.next_ticket;
+        self.next_ticket += 1;
+        let lost = self.faults.lose_events;
+        if lost == 0 || self.rng.u32(0..1000) >= lost {
+            let due = Instant::now() + self.settings.report_lag;
+            self.cache_events.push((due, json!({"number": number, "what": what, "prefix": key})));
+        }
+        let over = self.cache_events.len().saturating_sub(MAX_CACHE_EVENTS);
+        self.cache_events.drain(..over);
+    }
+
     fn slowed(&self, ms: u64) -> Duration {
         let crowd = 10 + self.running.saturating_sub(1) as u64;
         Duration::from_micros(ms * 100 * crowd * (100 + self.faults.slow_percent) / 100)
@@ -195,24 +229,32 @@
 /// Counts a request as waiting, then as running, until it is dropped.
 struct Slot {
     state: Arc<Mutex<State>>,
+    ticket: (u8, u64),
     running: bool,
 }
 
 impl Slot {
-    fn new(state: Arc<Mutex<State>>) -> Self {
-        {
+    fn new(state: Arc<Mutex<State>>, priority: u8) -> Self {
+        let ticket = {
             let mut s = lock(&state);
+            let ticket = (priority, s.next_ticket);
+            s.next_ticket += 1;
+            s.queue.insert(ticket);
             s.waiting += 1;
             s.note_load();
-        }
-        Self { state, running: false }
+            ticket
+        };
+        Self { state, ticket, running: false }
     }
 
     async fn begin(&mut self) {
         loop {
             {
                 let mut s = lock(&self.state);
-                if s.running < s.settings.slots {
+                // The most urgent runs first; of equals the one that came first.
+                let is_next = s.queue.first() == Some(&self.ticket);
+                if s.running < s.settings.slots && is_next {
+                    s.queue.remove(&self.ticket);
                     s.waiting -= 1;
                     s.running += 1;
                     s.note_load();
@@ -231,6 +273,7 @@
         if self.running {
             s.running -= 1;
         } else {
+            s.queue.remove(&self.ticket);
             s.waiting -= 1;
         }
         s.note_load();
@@ -250,12 +293,45 @@
     }
     match req.url().path() {
         "/v1/load" => serve::json(&lock(&state).report()),
+        "/v1/cache_events" => cache_events(&req, &state),
+        "/v1/resume" => resume(&mut req, state, history).await,
         "/v1/orders" => order(&mut req, &state, &history).await,
         "/v1/chat/completions" => chat(req, peer, state, history).await,
         _ => serve::status(404, "no such path"),
     }
 }
 
+/// Returns the published events from a number on; numbers that are missing were lost.
+fn cache_events(req: &Request, state: &Mutex<State>) -> Response {
+    let from = serve::query(req, "from").unwrap_or(0);
+    let s = lock(state);
+    let due = s.cache_events.iter().filter(|(due, _)| *due <= Instant::now());
+    let wanted = due.filter(|(_, event)| event["number"].as_u64() >= Some(from));
+    serve::json(&json!({"events": wanted.map(|(_, event)| event).collect::<Vec<_>>()}))
+}
+
+/// Goes on with a stream that broke off, from a token on.
+async fn resume(req: &mut Request, state: Arc<Mutex<State>>, history: History) -> Response {
+    let body = serve::body_json(req).await.unwrap_or_default();
+    let request = body["request_id"].as_str().unwrap_or_default();
+    let found = lock(&state).broken.get(request).cloned();
+    let Some((run, reached)) = found else {
+        return serve::status(404, "no such stream broke off");
+    };
+    let from = body["from_token"].as_u64().unwrap_or(reached).min(reached);
+    history.add("resume", &run.version, &run.request, from.to_string());
+    stream_answer(run, from, state, history)
+}
+
+fn stream_answer(run: Run, from: u64, state: Arc<Mutex<State>>, history: History) -> Response {
+    let (tx, body) = channel_body();
+    smol::spawn(stream(run, from, tx, state, history)).detach();
+    let mut res = Response::new(StatusCode::Ok);
+    res.insert_header("content-type", "text/event-stream");
+    res.set_body(body);
+    res
+}
+
 async fn order(req: &mut Request, state: &Mutex<State>, history: &History) -> Response {
     let body = serve::body_json(req).await.unwrap_or_default();
     let fence = body["fencing"].as_u64().unwrap_or(0);
@@ -279,11 +355,13 @@
     serve::json(&json!({"fencing": fence, "versions": s.settings.versions}))
 }
 
+#[derive(Clone, Debug)]
 struct Run {
     version: String,
     request: String,
     prompt: String,
     tokens: u64,
+    priority: u8,
     bad: bool,
 }
 
@@ -320,14 +398,10 @@
     let bad_share = faults.bad.get(&version).copied().unwrap_or(0);
     let bad = lock(&state).rng.u32(0..1000) < bad_share;
     let tokens = body["max_tokens"].as_u64().unwrap_or(DEFAULT_TOKENS);
-    let run = Run { version, request, prompt, tokens, bad };
+    let priority = body["priority"].as_u64().map_or(DEFAULT_PRIORITY, |p| p.min(9) as u8);
+    let run = Run { version, request, prompt, tokens, priority, bad };
     if body["stream"].as_bool() == Some(true) {
-        let (tx, body) = channel_body();
-        smol::spawn(stream(run, tx, state, history)).detach();
-        let mut res = Response::new(StatusCode::Ok);
-        res.insert_header("content-type", "text/event-stream");
-        res.set_body(body);
-        return res;
+        return stream_answer(run, 0, state, history);
     }
     let whole = whole(&run, state, &history);
     let gone = async {
@@ -351,7 +425,7 @@
 }
 
 async fn whole(run: &Run, state: Arc<Mutex<State>>, history: &History) -> Response {
-    let mut slot = Slot::new(state);
+    let mut slot = Slot::new(state, run.priority);
     prefill(run, &mut slot).await;
     let mut text = String::new();
     for index in 0..run.tokens {
@@ -388,17 +462,21 @@
     }
 }
 
-async fn stream(run: Run, tx: BodySender, state: Arc<Mutex<State>>, history: History) {
-    let mut slot = Slot::new(state);
+async fn stream(run: Run, from: u64, tx: BodySender, state: Arc<Mutex<State>>, history: History) {
+    let mut slot = Slot::new(state.clone(), run.priority);
     let sent = async {
         prefill(&run, &mut slot).await;
-        for index in 0..run.tokens {
+        for index in from..run.tokens {
             let (wait, die_after) = {
                 let s = lock(&slot.state);
                 (s.slowed_token(), s.faults.die_after)
             };
             if die_after.is_some_and(|n| index >= u64::from(n)) {
                 history.add("die", &run.version, &run.request, "");
+                let mut s = lock(&state);
+                if s.broken.len() < MAX_BROKEN {
+                    s.broken.insert(run.request.clone(), (run.clone(), index));
+                }
                 return Err(true);
             }
             Timer::after(wait).await;
--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -114,6 +114,7 @@
         let shown = &bytes[..bytes.len().min(60)];
         assert!(answer.starts_with(&format!("HTTP/1.1{status}")), "{shown:?}: {answer:?}");
         assert!(answer.contains("\"run_state\":\"not_run\""), "{answer}");
+        assert!(answer.to_lowercase().contains("x-request-id: "), "{answer}");
     }
     is_alive(&fleet);
 }
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
+use std::net::UdpSocket;
+use std::time::Duration;
+
 use common::{builder, engine, objects};
 use redwingfold_http::Method;
 use redwingfold_standins::fleet::Ask;
+use serde_json::json;
 
 #[test]
 fn whole_streamed_and_plain_answers_come_through() {
@@ -36,3 +40,24 @@
     let explained = String::from_utf8_lossy(&explained.stdout);
     assert!(explained.contains("slip-1 at gpu-1/engine-0"), "{explained}");
 }
+
+/// Operators get metrics as StatsD datagrams at the address of the settings.
+#[test]
+fn metrics_arrive() {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a free port");
+    socket.set_read_timeout(Some(Duration::from_secs(30))).expect("a timeout above zero");
+    let statsd = socket.local_addr().expect("bound").to_string();
+    let fleet = builder()
+        .engine("gpu-1", engine(&["slip-1"]))
+        .settings("entry", "metrics", json!({"statsd": statsd}))
+        .start(&objects());
+    let mut buf = [0; 2048];
+    let found = (0..200).any(|n| {
+        fleet.caller(0).send_blocking(&Ask::chat("ani", "slip", &format!("slip {n}")));
+        socket.set_nonblocking(true).expect("a socket");
+        std::iter::from_fn(|| socket.recv(&mut buf).ok().map(|n| buf[..n].to_vec())).any(
+            |datagram| String::from_utf8_lossy(&datagram).contains("redwingfold.request.count:1|c"),
+        )
+    });
+    assert!(found, "no request was counted");
+}
