--- a/tests/promise_config.rs
+++ b/tests/promise_config.rs
@@ -105,8 +105,14 @@
     for share in 1..=25 {
         fleet.publish(&Objects::default().rollout("up", "slip", "slip-2", share));
     }
-    wait_until("a snapshot is written", || !fleet.log.records("config-snapshots").is_empty());
-    fleet.log.set(|faults| faults.retain = 3);
+    // Retention holds more than one period of snapshots, as the platform's page asks.
+    wait_until("the newest snapshot is less than a period old", || {
+        let snapshots = fleet.log.records("config-snapshots");
+        let newest = snapshots.last().map(|(_, raw)| raw.clone()).unwrap_or_default();
+        let value: Value = serde_json::from_str(&newest).unwrap_or_default();
+        value["config"]["offset"].as_u64().is_some_and(|covered| covered + 10 > fold_offset(&fleet))
+    });
+    fleet.log.set(|faults| faults.retain = 12);
     fleet.publish(&Objects::default().rollout("up", "slip", "slip-2", 100));
     fleet.log.set(|faults| faults.retain = 100_000);
     let newest = fold_offset(&fleet);
