--- a/core/tests/fold.rs
+++ b/core/tests/fold.rs
@@ -2,6 +2,8 @@
 
 use std::collections::BTreeMap;
 
+use todc_utils::{Action, History, Specification, WGLChecker};
+
 use redwingfold_core::{
     Change, Fold, Millis, ModelSpec, Object, ObjectKey, Offset, PerMille, Record, RequestId, Spec,
     StreamsOnWithdrawal, Verdict, VersionSpec, Withdrawal,
@@ -149,6 +151,108 @@
     });
 }
 
+/// A change of one object as its author saw it: what it expected, and the revision it got.
+#[derive(Clone, Debug)]
+struct Cas {
+    expected: u64,
+    won: Option<u64>,
+}
+
+/// The revision of one object.
+struct Revision;
+
+impl Specification for Revision {
+    type Operation = Cas;
+    type State = u64;
+
+    fn init() -> u64 {
+        1
+    }
+
+    fn apply(cas: &Cas, revision: &u64) -> (bool, u64) {
+        match cas.won {
+            Some(won) => (cas.expected == *revision, won),
+            None => (cas.expected != *revision, *revision),
+        }
+    }
+}
+
+/// Operators look at the object, append their changes some time later, some of them twice, and hear
+/// the verdict later still, in any interleaving: what they are told fits one order of changes.
+#[test]
+fn what_racing_operators_are_told_is_linearizable() {
+    bolero::check!().for_each(|bytes: &[u8]| {
+        let mut fold = Fold::default();
+        fold.apply(Offset(1), &first());
+        let (mut log, mut actions) = (1, Vec::new());
+        // Each operator: what it expects, and where its record stands once it is appended.
+        let mut operators: Vec<Option<(u64, Option<u64>)>> = vec![None; 3];
+        for (n, byte) in bytes.iter().enumerate().take(40) {
+            let who = usize::from(byte % 3);
+            let id = |since: u64| u128::from(since) * 10 + who as u128 + 100;
+            operators[who] = match operators[who] {
+                None => {
+                    let stored = &fold.config().objects[&"version/a".parse().unwrap()];
+                    let expected = stored.revision.0;
+                    actions.push((who, Action::Call(Cas { expected, won: None })));
+                    Some((expected, None))
+                }
+                Some((expected, None)) => {
+                    let record = change(
+                        id(n as u64),
+                        &[("version/a", expected)],
+                        vec![version("a", n as u64)],
+                    );
+                    for _ in 0..1 + byte / 128 {
+                        log += 1;
+                        fold.apply(Offset(log), &record);
+                    }
+                    Some((expected, Some(log - u64::from(byte / 128))))
+                }
+                Some((expected, Some(at))) => {
+                    let entry = fold.audit().iter().find(|e| e.offset == Offset(at)).unwrap();
+                    let won = (entry.verdict == Verdict::Accepted).then_some(at);
+                    actions.push((who, Action::Response(Cas { expected, won })));
+                    None
+                }
+            };
+        }
+        for (who, operator) in operators.iter().enumerate() {
+            if operator.is_some() {
+                // It never heard; its call is taken out, if nothing can have seen its effect.
+                let call =
+                    actions.iter().rposition(|(w, a)| *w == who && matches!(a, Action::Call(_)));
+                let expected = operator.unwrap().0;
+                let at = operator.unwrap().1;
+                let won = at.filter(|at| {
+                    let entry = fold.audit().iter().find(|e| e.offset == Offset(*at));
+                    entry.is_some_and(|e| e.verdict == Verdict::Accepted)
+                });
+                match (at, call) {
+                    (None, Some(call)) => drop(actions.remove(call)),
+                    _ => actions.push((who, Action::Response(Cas { expected, won }))),
+                }
+            }
+        }
+        if !actions.is_empty() {
+            assert!(WGLChecker::<Revision>::is_linearizable(History::from_actions(actions)));
+        }
+    });
+}
+
+/// Two changes that won from the same revision are found, so the checker can say no.
+#[test]
+fn the_checker_refuses_two_winners() {
+    let one = |who, won| {
+        [
+            (who, Action::Call(Cas { expected: 1, won })),
+            (who, Action::Response(Cas { expected: 1, won })),
+        ]
+    };
+    let two = [one(0, Some(2)), one(1, Some(3))].concat();
+    assert!(!WGLChecker::<Revision>::is_linearizable(History::from_actions(two)));
+}
+
 #[test]
 fn keys_are_read_back_as_written() {
     let key: ObjectKey = "version/a".parse().unwrap();
--- a/tests/whole_path.rs
+++ b/tests/whole_path.rs
@@ -7,7 +7,7 @@
 
 use common::{builder, engine, objects};
 use redwingfold_http::Method;
-use redwingfold_standins::fleet::Ask;
+use redwingfold_standins::fleet::{Ask, key_of};
 use serde_json::json;
 
 #[test]
@@ -35,6 +35,9 @@
     let models = caller.send_blocking(&Ask::new(Method::Get, "/v1/models", "ani"));
     assert!(models.text().contains("\"slip-2\""), "{}", models.text());
 
+    for host in ["entry-0", "gpu-1", "svc-1"] {
+        assert_eq!(fleet.process(host).count(&key_of("ani")), 0, "{host} logged a customer's key");
+    }
     let request = whole.header("x-decision-id").expect("decision id");
     let explained = fleet.ctl(&["explain", request]);
     let explained = String::from_utf8_lossy(&explained.stdout);
