fix(entry): serve a session whose own version is in service

Cause: found while reading: a session's request was planned like a new one before its pin was looked at, and refused if the plan failed. With the model's current version withdrawn, sessions on another version were refused. Ruled out: the side (it never saw them). Change: the proposal is needed, and its failure counts, only where the session has no version or must leave it.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -131,10 +131,10 @@
         let offset = config.offset;
         match session {
             Some(session) if !is_version => {
-                let proposed = planned?.steps.remove(0);
+                let proposed = planned.map(|mut plan| plan.steps.remove(0));
                 let (entry, name) = (&self.entry, &self.req.name);
                 let kept =
-                    version_of(entry, &config, &self.caller, session, name, &proposed).await?;
+                    version_of(entry, &config, &self.caller, session, name, proposed).await?;
                 self.step("session", format!("keeps {}", kept.version));
                 Ok(Chosen {
                     steps: vec![kept.version],
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -2,7 +2,7 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use redwingfold_core::{ErrorKind, Millis, RequestId, Spec, VersionName};
+use redwingfold_core::{Config, ErrorKind, Millis, RequestId, Spec, VersionName};
 use redwingfold_http::{Peer, Request, Response};
 use serde_json::json;
 
@@ -99,23 +99,7 @@
             let takes = if path == MODELS_PATH { "GET" } else { "POST" };
             return Err(Failed::new(ErrorKind::WrongMethod, format!("{path} takes {takes}")));
         }
-        _ => {
-            let (service, spec) = find_service(&config, &path)
-                .ok_or_else(|| Failed::new(ErrorKind::UnknownPath, path.clone()))?;
-            let plain = Plain {
-                entry: entry.clone(),
-                caller,
-                request: request_of(facts),
-                method,
-                target: target_of(&req),
-                content_type: req.header("content-type").map(|v| v.as_str().to_owned()),
-                body: read_body(entry, &mut req).await?,
-                trace: trace.clone(),
-                deadline,
-            };
-            let answered = Box::pin(plain.answer(&service, spec));
-            return until_deadline(entry, deadline, peer, answered).await;
-        }
+        _ => return plain_answer(entry, &config, caller, req, peer, facts, trace).await,
     }
     let target = target_of(&req);
     let req = ChatRequest::parse(read_body(entry, &mut req).await?)?;
@@ -132,6 +116,34 @@
     chat_answer(&chat, peer, facts, under_way).await
 }
 
+async fn plain_answer(
+    entry: &Arc<Entry>,
+    config: &Config,
+    caller: Caller,
+    mut req: Request,
+    peer: &Peer,
+    facts: &SharedFacts,
+    trace: &Trace,
+) -> Result<Response, Failed> {
+    let path = req.url().path().to_owned();
+    let (service, spec) =
+        find_service(config, &path).ok_or_else(|| Failed::new(ErrorKind::UnknownPath, path))?;
+    let deadline = entry.daemon.now().after(caller.deadline);
+    let plain = Plain {
+        entry: entry.clone(),
+        caller,
+        request: request_of(facts),
+        method: req.method().to_string(),
+        target: target_of(&req),
+        content_type: req.header("content-type").map(|v| v.as_str().to_owned()),
+        body: read_body(entry, &mut req).await?,
+        trace: trace.clone(),
+        deadline,
+    };
+    let answered = Box::pin(plain.answer(&service, spec));
+    until_deadline(entry, deadline, peer, answered).await
+}
+
 async fn chat_answer(
     chat: &Arc<Chat>,
     peer: &Peer,
--- a/src/entry/sessions.rs
+++ b/src/entry/sessions.rs
@@ -115,14 +115,14 @@
     pub(crate) moved_from: Option<VersionName>,
 }
 
-/// Returns the version that a session keeps; `proposed` is taken if it has none yet.
+/// Returns the version that a session keeps; `proposed` is taken if it has none, and only then needed.
 pub(crate) async fn version_of(
     entry: &Arc<Entry>,
     config: &Config,
     caller: &Caller,
     session: &SessionId,
     name: &str,
-    proposed: &VersionName,
+    proposed: Result<VersionName, Failed>,
 ) -> Result<Kept, Failed> {
     let key = PinKey {
         customer: caller.customer.clone(),
@@ -143,7 +143,7 @@
                 (pin, None)
             }
             Err(ErrorKind::Withdrawn) => {
-                let next = Pin { moves: pin.moves + 1, since: wall(), version: proposed.clone() };
+                let next = Pin { moves: pin.moves + 1, since: wall(), version: proposed? };
                 (set(entry, &key, next).await?, Some(pin.version))
             }
             Err(kind) => {
@@ -152,7 +152,7 @@
             }
         },
         None => {
-            let first = Pin { moves: 0, since: wall(), version: proposed.clone() };
+            let first = Pin { moves: 0, since: wall(), version: proposed? };
             (set(entry, &key, first).await?, None)
         }
     };
--- a/tests/promise_billed_once.rs
+++ b/tests/promise_billed_once.rs
@@ -32,6 +32,15 @@
     assert!(answers > 0);
 }
 
+/// Begins an outage of the log, and returns calls that were answered in it.
+fn answers_in_an_outage(fleet: &Fleet) -> Vec<Call> {
+    fleet.log.set(|faults| faults.outage = true);
+    let ask = |n| Ask::chat("ani", "slip", &format!("slip {n}"));
+    let calls: Vec<_> = (0..8).map(|n| Call::send(&fleet.caller(0), ask(n))).collect();
+    assert!(calls.iter().all(|c| c.answered.status == 200));
+    calls
+}
+
 /// A co-op pays once for a receipt that it sends again through another entry, whole or streamed,
 /// since the bill's id comes from the customer's key for the request.
 #[test]
@@ -72,11 +81,7 @@
 #[test]
 fn entry_dies_before_the_append() {
     let fleet = fleet();
-    fleet.log.set(|faults| faults.outage = true);
-    let calls: Vec<_> = (0..8)
-        .map(|n| Call::send(&fleet.caller(0), Ask::chat("ani", "slip", &format!("slip {n}"))))
-        .collect();
-    assert!(calls.iter().all(|c| c.answered.status == 200));
+    let calls = answers_in_an_outage(&fleet);
     fleet.process("entry-0").kill();
     fleet.log.set(|faults| faults.outage = false);
     check(&fleet, &calls);
@@ -86,11 +91,7 @@
 #[test]
 fn sides_die_before_the_append() {
     let fleet = fleet();
-    fleet.log.set(|faults| faults.outage = true);
-    let calls: Vec<_> = (0..8)
-        .map(|n| Call::send(&fleet.caller(0), Ask::chat("ani", "slip", &format!("slip {n}"))))
-        .collect();
-    assert!(calls.iter().all(|c| c.answered.status == 200));
+    let calls = answers_in_an_outage(&fleet);
     fleet.process("gpu-1").kill();
     fleet.process("gpu-2").kill();
     fleet.log.set(|faults| faults.outage = false);
--- a/tests/promise_session.rs
+++ b/tests/promise_session.rs
@@ -109,6 +109,26 @@
     assert_eq!(after.header("x-model-version"), Some("slip-2"));
 }
 
+/// A treasurer whose version is in service is served, although the version that new sessions would
+/// get has been withdrawn: nothing of hers was.
+#[test]
+fn withdrawal_of_another_version_changes_nothing() {
+    let fleet = fleet();
+    let ask = Ask::chat("ani", "slip", "slip").session("batch-1");
+    let before = fleet.caller(0).send_blocking(&ask);
+    assert_eq!(before.header("x-model-version"), Some("slip-1"));
+    fleet.publish(&Objects::default().model("slip", "slip-2"));
+    assert!(fleet.ctl(&["withdraw", "slip-2", "--reason", "bad"]).status.success());
+    fleet.wait_in_force();
+    for entry in [0, 1] {
+        let after = fleet.caller(entry).send_blocking(&ask);
+        assert_eq!(after.header("x-model-version"), Some("slip-1"), "{}", after.text());
+        let new = Ask::chat("ani", "slip", "slip").session("batch-2");
+        let refused = fleet.caller(entry).send_blocking(&new);
+        assert_eq!(refused.error_code().0, "version_withdrawn");
+    }
+}
+
 /// Two entries that get a new session's first requests at once give it one version, although one
 /// of them does not know yet that the roll-out's share has moved.
 #[test]
