fix(side): take over and give back the turn of a side that died in a load

A side that was killed in a load leaves its turn taken; its engine finishes alone, so that the next side finds nothing to load and never ended the turn: the other hosts would have waited ten minutes. Ruled out: the weight store (it granted), the fold (its verdicts were right). Change: a new side takes over the turn that its host has, keeps it while an order may still be under way, and gives it back once the engine has the version.

--- a/core/src/loads.rs
+++ b/core/src/loads.rs
@@ -92,6 +92,11 @@
         self.active.values().filter(goes_on).count()
     }
 
+    /// Returns a host's load that goes on as far as the log knows.
+    pub fn active_of(&self, host: &HostId) -> Option<ClaimId> {
+        self.active.iter().find(|(_, (h, _))| h == host).map(|(id, _)| *id)
+    }
+
     /// Returns the offset of the last record that was folded.
     pub fn offset(&self) -> Offset {
         self.offset
--- a/src/side/orders.rs
+++ b/src/side/orders.rs
@@ -3,7 +3,7 @@
 //! Orders are declarative, and given again until the engine's report shows them done. What the
 //! engine has loaded is all that counts: a roll-out that broke off goes on from there.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use redwingfold_core::{
     ClaimId, FenceRecord, LoadFold, LoadRecord, Millis, Offset, PerMille, Spec, VersionName,
@@ -37,6 +37,8 @@
 struct Orders {
     fence: Option<Fence>,
     loads: BTreeMap<VersionName, LoadFold>,
+    /// Versions of which no load of this host goes on by the log.
+    settled: BTreeSet<VersionName>,
     /// Pause of each engine that had to wait, and when it ends.
     waits: BTreeMap<String, (Millis, Millis)>,
 }
@@ -144,9 +146,12 @@
     let Some(wanted) = wanted(side) else { return Ok(()) };
     let mut loaded = backend.versions();
     loaded.sort();
-    if loaded == wanted.versions || !backend.load().up || side.is_leaving() {
+    if !backend.load().up || side.is_leaving() {
         return Ok(());
     }
+    if loaded == wanted.versions {
+        return settle(side, orders, &loaded).await;
+    }
     let held = match orders.fence {
         Some(held) => held,
         None => *orders.fence.insert(claim_fence(side).await?),
@@ -163,30 +168,60 @@
     if going_on >= wanted.limit as usize {
         return Err(Held::Later(format!("{going_on} loads go on")));
     }
-    let id = new_claim_id();
-    let begin = LoadRecord::Begin {
-        id,
-        host: side.daemon.host.clone(),
-        version: (*first).clone(),
-        limit: wanted.limit,
-        at: wall(),
+    // A load of this host that the log knows of was begun by a side before this one, or ordered
+    // without a clear answer: the engine may be at it still. Its turn is taken over, and not given
+    // back before the engine has the version; given back sooner, two engines would load at once.
+    let inherited = loads.active_of(&side.daemon.host);
+    let id = match inherited {
+        Some(id) => id,
+        None => take_turn(side, &stream_name, loads, first, wanted.limit).await?,
     };
-    let outcome = async {
-        take_turn(side, &stream_name, loads, &begin, id).await?;
-        ask_store(side, first).await?;
-        // Versions are added one by one, so that each load is counted.
-        let mut next = loaded.clone();
-        next.retain(|v| wanted.versions.contains(v));
-        next.push((*first).clone());
-        order(side, backend, &held, &next).await
+    let mut may_be_loading = inherited.is_some();
+    let outcome = match ask_store(side, first).await {
+        Ok(()) => {
+            may_be_loading = true;
+            // Versions are added one by one, so that each load is counted.
+            let mut next = loaded.clone();
+            next.retain(|v| wanted.versions.contains(v));
+            next.push((*first).clone());
+            order(side, backend, &held, &next).await
+        }
+        Err(held) => Err(held),
     };
-    let outcome = outcome.await;
-    let end = serde_json::to_vec(&LoadRecord::End { id }).unwrap_or_default();
-    // An end that is lost costs time only: the load counts until its longest time has passed.
-    side.daemon.log.append(&stream_name, end).await.ok();
+    orders.settled.remove(*first);
+    if outcome.is_ok() || !may_be_loading {
+        end_load(side, &stream_name, id).await?;
+        orders.settled.insert((*first).clone());
+    }
     outcome
 }
 
+async fn end_load(side: &Side, name: &str, id: ClaimId) -> Result<(), LogError> {
+    let end = serde_json::to_vec(&LoadRecord::End { id }).unwrap_or_default();
+    side.daemon.log.append(name, end).await.map(drop)
+}
+
+/// Ends loads of this host that the log believes to go on, although the engine has the versions.
+///
+/// A side that dies in a load leaves its turn taken; its engine finishes by itself, so that the next
+/// side has no load to make. Were the turn not given back, the other hosts would wait ten minutes.
+async fn settle(side: &Side, orders: &mut Orders, loaded: &[VersionName]) -> Result<(), Held> {
+    let longest = side.settings.orders.load_timeout_ms;
+    for version in loaded {
+        if orders.settled.contains(version) {
+            continue;
+        }
+        let name = format!("{}{version}", stream::LOADS);
+        let loads = orders.loads.entry(version.clone()).or_insert_with(|| LoadFold::new(longest));
+        read_loads(side, &name, loads).await?;
+        if let Some(id) = loads.active_of(&side.daemon.host) {
+            end_load(side, &name, id).await?;
+        }
+        orders.settled.insert(version.clone());
+    }
+    Ok(())
+}
+
 /// Claims the engines of this host. The claim is looked for by its id if its answer was lost.
 async fn claim_fence(side: &Side) -> Result<Fence, Held> {
     let id = new_claim_id();
@@ -277,22 +312,25 @@
     }
 }
 
-/// Asks for a place among the loads that go on; the log's order decides between several that ask.
+/// Takes a place among the loads that go on; the log's order decides between several that ask.
 async fn take_turn(
     side: &Side,
     name: &str,
     loads: &mut LoadFold,
-    begin: &LoadRecord,
-    id: ClaimId,
-) -> Result<(), Held> {
-    let json = serde_json::to_vec(begin).unwrap_or_default();
+    version: &VersionName,
+    limit: u32,
+) -> Result<ClaimId, Held> {
+    let id = new_claim_id();
+    let host = side.daemon.host.clone();
+    let begin = LoadRecord::Begin { id, host, version: version.clone(), limit, at: wall() };
+    let json = serde_json::to_vec(&begin).unwrap_or_default();
     match side.daemon.log.append(name, json).await {
         Ok(_) | Err(LogError::Unknown(_)) => {}
         Err(e) => return Err(e.into()),
     }
     read_loads(side, name, loads).await?;
     match loads.is_granted(id) {
-        true => Ok(()),
+        true => Ok(id),
         false => Err(Held::Later("others were faster".to_owned())),
     }
 }
--- a/tests/orders.rs
+++ b/tests/orders.rs
@@ -82,6 +82,22 @@
     wait_until("all have only it", || all_have(&fleet, &["slip-2"]));
 }
 
+/// The other hosts get their turn although a side was killed in its load and its engine finished
+/// alone: the next side has nothing to load, and gives the turn back.
+#[test]
+fn turn_of_a_killed_side_is_given_back() {
+    let slow = EngineSettings { load_ms: 100, ..engine(&["slip-1"]) };
+    let mut fleet = fleet(&slow);
+    place(&fleet, &["slip-1", "slip-2"]);
+    let events = |host: &str, what: &str| fleet.engines[host].history.of(what).len();
+    wait_until("a load begins", || HOSTS.iter().any(|h| events(h, "order") > 0));
+    let loading = HOSTS.into_iter().find(|h| events(h, "order") > 0).expect("one");
+    fleet.process(loading).kill();
+    wait_until("its engine finishes alone", || events(loading, "loaded") > 0);
+    fleet.restart(loading);
+    wait_until("all have it", || all_have(&fleet, &["slip-1", "slip-2"]));
+}
+
 /// A side that was paused while another took its place wakes, and gives no order: neither to an
 /// engine that checks the fencing number nor to one that ignores it.
 #[test]
