feat(gateway): let fewer gateways of a large fleet read the store

Waits were drawn evenly, so that a dozen gateways came to the end of theirs before the message of the first had reached them; messages went out with the next turn (100 ms) and competed with loads for 7 kB/s; hosts that the store turns away asked it again each 100 to 200 ms.

Periods follow the promised times of the deployment.

Tests: core/tests/feeds.rs plays messages that take 40 ms; red without the drawing (28 gateways: 333 reads a minute against 81 of one), and without the overlap (330 gateways: 297 against 77).

--- a/core/src/budget.rs
+++ b/core/src/budget.rs
@@ -44,6 +44,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct ByteBudget {
     per_second: u64,
+    /// What it holds when it is full.
+    depth: u64,
     millibytes: u64,
     filled: Millis,
 }
@@ -51,7 +53,12 @@
 impl ByteBudget {
     /// Makes a full budget of `per_second` bytes a second, with one second's worth saved up.
     pub fn new(per_second: u64, now: Millis) -> Self {
-        Self { per_second, millibytes: per_second * 1000, filled: now }
+        Self::with_depth(per_second, per_second, now)
+    }
+
+    /// Makes a full budget of `per_second` bytes a second that saves up `depth` bytes.
+    pub fn with_depth(per_second: u64, depth: u64, now: Millis) -> Self {
+        Self { per_second, depth, millibytes: depth * 1000, filled: now }
     }
 
     /// Takes `bytes` out of the budget, if they are there.
@@ -64,15 +71,26 @@
     /// assert!(budget.try_take(100, Millis(100)));
     /// ```
     pub fn try_take(&mut self, bytes: u64, now: Millis) -> bool {
+        self.try_take_leaving(bytes, 0, now)
+    }
+
+    /// Takes `bytes` out of the budget, if `rest` bytes are left then for what is more urgent.
+    ///
+    /// ```
+    /// use redwingfold_core::{ByteBudget, Millis};
+    /// let mut budget = ByteBudget::with_depth(1_000, 2_000, Millis(0));
+    /// assert!(budget.try_take_leaving(1_500, 500, Millis(0)));
+    /// assert!(!budget.try_take_leaving(1, 500, Millis(0)));
+    /// assert!(budget.try_take(500, Millis(0)));
+    /// ```
+    pub fn try_take_leaving(&mut self, bytes: u64, rest: u64, now: Millis) -> bool {
         let gained = now.since(self.filled).0 * self.per_second;
-        self.millibytes = (self.millibytes + gained).min(self.per_second * 1000);
+        self.millibytes = (self.millibytes + gained).min(self.depth * 1000);
         self.filled = now;
-        match self.millibytes.checked_sub(bytes * 1000) {
-            Some(rest) => {
-                self.millibytes = rest;
-                true
-            }
-            None => false,
+        if self.millibytes < (bytes + rest) * 1000 {
+            return false;
         }
+        self.millibytes -= bytes * 1000;
+        true
     }
 }
--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -1,5 +1,7 @@
 //! Reading a feed of the store together: one gateway reads, and the others hear what it saw.
 
+use std::collections::VecDeque;
+
 use crate::ids::Millis;
 
 /// What a gateway tells of its last read.
@@ -32,9 +34,15 @@
 /// all. Here each waits a random time after the last moment as of which it knows the feed; the
 /// first one reads, and its message lets the others wait anew. Nobody is elected, so nobody's death is
 /// noticed late: a gateway that hears nothing reads itself after twice its period at most.
+///
+/// The waits are not drawn evenly: the chance of an early one falls exponentially with the size of the
+/// fleet, as receivers of a multicast draw theirs. With even ones, a dozen of 28 gateways came to
+/// their end before the message of the first had reached them.
 #[derive(Clone, Debug)]
 pub struct FeedView {
     period: Millis,
+    /// Gateways that read this feed, this one included.
+    fleet: usize,
     next: Option<u64>,
     fresh_at: Millis,
     patience: Millis,
@@ -54,7 +62,12 @@
     /// assert!(!view.is_due(Millis(800)) && view.is_due(Millis(990)));
     /// ```
     pub fn new(period: Millis) -> Self {
-        Self { period, next: None, fresh_at: Millis(0), patience: Millis(0) }
+        Self { period, fleet: 1, next: None, fresh_at: Millis(0), patience: Millis(0) }
+    }
+
+    /// Notes how many gateways read this feed, this one included.
+    pub fn share_with(&mut self, fleet: usize) {
+        self.fleet = fleet.max(1);
     }
 
     /// Returns the offset up to which the feed is known.
@@ -103,7 +116,76 @@
     fn refresh(&mut self, as_of: Millis, draw: u64) {
         if as_of >= self.fresh_at {
             self.fresh_at = as_of;
-            self.patience = self.period.after(Millis(draw % self.period.0.max(1)));
+            self.patience = self.period.after(wait(self.period, self.fleet, draw));
         }
     }
 }
+
+/// What the last reads of a feed brought, to be told again with each message.
+///
+/// A message that is lost leaves a gap before the next one, and whoever missed it reads the store.
+/// Among hundreds of gateways somebody always did: with one message in fifty lost, 330 of them read
+/// eight times as often as one. A message that also tells what the two before it did bridges the gap.
+#[derive(Clone, Debug)]
+pub struct FeedPast<C> {
+    reads: VecDeque<PastRead<C>>,
+    max_changes: usize,
+}
+
+#[derive(Clone, Debug)]
+struct PastRead<C> {
+    from: u64,
+    next: u64,
+    changes: Vec<C>,
+}
+
+/// Reads that a message tells of: two lost ones in a row are rare enough to be read.
+const TOLD_READS: usize = 3;
+
+impl<C: Clone> FeedPast<C> {
+    /// Makes an empty past of which at most `max_changes` are told.
+    ///
+    /// ```
+    /// use redwingfold_core::FeedPast;
+    /// let mut past = FeedPast::new(8);
+    /// past.add(10, 12, vec!["a"]);
+    /// past.add(12, 13, vec!["b"]);
+    /// assert_eq!(past.told(), Some((10, vec!["a", "b"])));
+    /// ```
+    pub fn new(max_changes: usize) -> Self {
+        Self { reads: VecDeque::new(), max_changes }
+    }
+
+    /// Adds what a read, or another gateway's message, brought between two offsets.
+    pub fn add(&mut self, from: u64, next: u64, changes: Vec<C>) {
+        if self.reads.back().is_some_and(|last| last.next != from) {
+            self.reads.clear();
+        }
+        self.reads.push_back(PastRead { from, next, changes });
+        let is_long = |reads: &VecDeque<PastRead<C>>| {
+            let changes: usize = reads.iter().map(|read| read.changes.len()).sum();
+            reads.len() > TOLD_READS || changes > self.max_changes
+        };
+        while is_long(&self.reads) {
+            self.reads.pop_front();
+        }
+    }
+
+    /// Returns the offset from which changes can be told, and the changes since.
+    pub fn told(&self) -> Option<(u64, Vec<C>)> {
+        let from = self.reads.front()?.from;
+        Some((from, self.reads.iter().flat_map(|read| read.changes.iter().cloned()).collect()))
+    }
+}
+
+/// Draws a wait of up to `most`; early ones are the rarer the larger the fleet is.
+///
+/// The time from `t` to `t + dt` is drawn with a density of `exp(lambda * t / most)`. With `lambda` of
+/// one more than the logarithm of the fleet's size, about one gateway is expected in the first part
+/// of the time, whatever that size is.
+fn wait(most: Millis, fleet: usize, draw: u64) -> Millis {
+    let lambda = (fleet as f64).ln() + 1.0;
+    let even = draw as f64 / u64::MAX as f64;
+    let part = (even * lambda.exp_m1()).ln_1p() / lambda;
+    Millis((part * most.0 as f64) as u64)
+}
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -20,7 +20,7 @@
     ServiceName, StreamRules,
 };
 pub use events::{EventId, EventSplitter, WholeEvents};
-pub use feed::{FeedHeard, FeedTold, FeedView};
+pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView};
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
 pub use placement::{Place, PlacementPolicy, Work, place};
--- a/core/tests/feeds.rs
+++ b/core/tests/feeds.rs
@@ -1,30 +1,48 @@
 //! Gateways that read a feed together, under loss, kills and freezes.
 
-use redwingfold_core::{FeedHeard, FeedTold, FeedView, Millis};
+use std::collections::VecDeque;
+
+use redwingfold_core::{FeedHeard, FeedPast, FeedTold, FeedView, Millis};
 
 const PERIOD: u64 = 500;
 
 struct Gateway {
     view: FeedView,
+    past: FeedPast<()>,
     /// As of when it truly knows the feed: what a checker sees, not what it believes.
     true_as_of: u64,
     asleep_until: u64,
 }
 
+impl Gateway {
+    fn new(fleet: usize) -> Self {
+        Self { view: view(fleet), past: FeedPast::new(8), true_as_of: 0, asleep_until: 0 }
+    }
+}
+
 struct Played {
     reads: u64,
     stalest: u64,
     missed: u64,
 }
 
-/// Plays a minute of `n` gateways; messages are lost with a probability, and every second one of them
-/// freezes for a while.
+/// Makes the view of a gateway of `n`.
+fn view(n: usize) -> FeedView {
+    let mut view = FeedView::new(Millis(PERIOD));
+    view.share_with(n);
+    view
+}
+
+/// Time from a read until a message of it is heard: a turn of a busy host, and the way.
+const ON_THE_WAY: u64 = 40;
+
+/// Plays a minute of `n` gateways; messages take a while and are lost with a probability, and every
+/// second one of them freezes for a while.
 fn play(n: usize, loss: f64, freezes: bool, seed: u64) -> Played {
     let mut rng = fastrand::Rng::with_seed(seed);
-    let mut gateways: Vec<_> = (0..n)
-        .map(|_| Gateway { view: FeedView::new(Millis(PERIOD)), true_as_of: 0, asleep_until: 0 })
-        .collect();
+    let mut gateways: Vec<_> = (0..n).map(|_| Gateway::new(n)).collect();
     let mut played = Played { reads: 0, stalest: 0, missed: 0 };
+    let mut on_the_way: VecDeque<(u64, usize, FeedTold)> = VecDeque::new();
     // The feed grows by one record each 80 ms.
     let end_at = |ms: u64| ms / 80;
     for ms in (0..60_000).step_by(10) {
@@ -32,26 +50,39 @@
             let g = rng.usize(..n);
             gateways[g].asleep_until = ms + rng.u64(500..4_000);
         }
-        for g in 0..n {
-            if gateways[g].asleep_until > ms || !gateways[g].view.is_due(Millis(ms)) {
-                continue;
-            }
-            let from = gateways[g].view.next().unwrap_or(end_at(ms));
-            gateways[g].view.read(Millis(ms), end_at(ms), rng.u64(..));
-            gateways[g].true_as_of = ms;
-            played.reads += 1;
-            let told = FeedTold { from, next: end_at(ms), age: Millis(0) };
+        while on_the_way.front().is_some_and(|(sent, _, _)| sent + ON_THE_WAY <= ms) {
+            let Some((sent, from, told)) = on_the_way.pop_front() else { break };
+            let told = FeedTold { age: Millis(ms - sent), ..told };
             for (other, gateway) in gateways.iter_mut().enumerate() {
-                if other == g || rng.f64() < loss || gateway.asleep_until > ms {
+                if other == from || rng.f64() < loss || gateway.asleep_until > ms {
                     continue;
                 }
+                let before = gateway.view.next().unwrap_or_default();
                 match gateway.view.hear(told, Millis(ms), rng.u64(..)) {
-                    FeedHeard::Applies | FeedHeard::Confirms => gateway.true_as_of = ms,
+                    heard @ (FeedHeard::Applies | FeedHeard::Confirms) => {
+                        gateway.true_as_of = gateway.true_as_of.max(sent);
+                        if heard == FeedHeard::Applies {
+                            gateway.past.add(before, told.next, Vec::new());
+                        }
+                    }
                     FeedHeard::Missed => played.missed += 1,
                     FeedHeard::Old => {}
                 }
             }
         }
+        for g in 0..n {
+            if gateways[g].asleep_until > ms || !gateways[g].view.is_due(Millis(ms)) {
+                continue;
+            }
+            let from = gateways[g].view.next().unwrap_or(end_at(ms));
+            gateways[g].view.read(Millis(ms), end_at(ms), rng.u64(..));
+            gateways[g].true_as_of = ms;
+            // The first read of all is each gateway's own: nobody can tell it what it has never seen.
+            played.reads += u64::from(ms > 0);
+            gateways[g].past.add(from, end_at(ms), Vec::new());
+            let from = gateways[g].past.told().map_or(from, |(from, _)| from);
+            on_the_way.push_back((ms, g, FeedTold { from, next: end_at(ms), age: Millis(0) }));
+        }
         for gateway in &gateways {
             let awake_for = ms.saturating_sub(gateway.asleep_until);
             if gateway.view.next().is_some() && awake_for > 2 * PERIOD {
@@ -76,13 +107,21 @@
     }
 }
 
-/// Load pattern: a fleet grows. Reads of the store stay as many as those of one or two gateways,
-/// instead of growing with it; with all messages lost, each reads for itself.
+/// Load pattern: a fleet grows, and a message takes longer than the time between two gateways' ends
+/// of patience. Reads of the store stay as many as those of two or three gateways, instead of growing with
+/// it; with all messages lost, each reads for itself.
 #[test]
 fn reads_do_not_grow_with_the_fleet() {
     let alone = play(1, 0.0, false, 1).reads;
-    let many = play(28, 0.02, false, 1);
-    assert!(many.reads <= alone * 3, "{} against {alone}", many.reads);
+    for n in [4, 28, 330] {
+        let many = play(n, 0.02, false, 1);
+        assert!(
+            many.reads <= alone * 3,
+            "{n}: {} against {alone}, {} missed",
+            many.reads,
+            many.missed
+        );
+    }
     assert!(play(28, 1.0, false, 1).reads >= alone * 20);
 }
 
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -1,6 +1,9 @@
 //! The feeds of the store that gateways read together: orders, and backend servers.
 
-use redwingfold_core::{BackendId, BackendServer, FeedHeard, FeedTold, FeedView, Millis};
+use std::rc::Rc;
+
+use event_listener::Event;
+use redwingfold_core::{BackendId, BackendServer, FeedHeard, FeedPast, FeedTold, FeedView, Millis};
 
 /// A feed of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -22,14 +25,26 @@
     Put(BackendServer),
 }
 
-/// Time between reads of orders by whichever gateway comes first; each reads after twice of it at
-/// the latest, and orders must be in force within two seconds.
-const ORDERS_EVERY: Millis = Millis(450);
+/// How often the feeds are read by whichever gateway comes first.
+///
+/// Each gateway reads after twice this time at the latest. What it takes on top is a message's way, and
+/// for orders a read of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct FeedPeriods {
+    /// Orders, which must be in force within a time that the operator is promised.
+    pub orders: Millis,
+    /// Servers, of which one that drains may still get work for a while.
+    pub servers: Millis,
+}
 
-/// The same for servers, of which one that drains may still get work for two seconds.
-const SERVERS_EVERY: Millis = Millis(500);
+impl Default for FeedPeriods {
+    /// Fits promises of two seconds.
+    fn default() -> Self {
+        Self { orders: Millis(450), servers: Millis(500) }
+    }
+}
 
-/// Changes that wait for the next message at most; with more, others read themselves.
+/// Changes that a message tells at most; with more, others read themselves.
 const MAX_CHANGES: usize = 12;
 
 /// What is known of both feeds, and what the others have not been told.
@@ -37,22 +52,37 @@
 pub struct Feeds {
     orders: FeedView,
     servers: FeedView,
+    /// Changes of servers, from own reads and from others' messages.
+    past: FeedPast<ServerChange>,
     untold_orders: Option<(FeedTold, Millis)>,
-    untold_servers: Option<(FeedTold, Millis, Vec<ServerChange>)>,
+    untold_servers: Option<(u64, Millis)>,
+    was_read: Rc<Event>,
 }
 
-impl Default for Feeds {
-    fn default() -> Self {
+impl Feeds {
+    /// Makes the feeds of a gateway that knows nothing yet.
+    pub(crate) fn new(periods: FeedPeriods) -> Self {
         Self {
-            orders: FeedView::new(ORDERS_EVERY),
-            servers: FeedView::new(SERVERS_EVERY),
+            orders: FeedView::new(periods.orders),
+            servers: FeedView::new(periods.servers),
+            past: FeedPast::new(MAX_CHANGES),
             untold_orders: None,
             untold_servers: None,
+            was_read: Rc::new(Event::new()),
         }
     }
-}
 
-impl Feeds {
+    /// Notes how many gateways read together, this one included.
+    pub(crate) fn share_with(&mut self, fleet: usize) {
+        self.orders.share_with(fleet);
+        self.servers.share_with(fleet);
+    }
+
+    /// Returns what happens whenever this gateway has read a feed.
+    pub(crate) fn was_read(&self) -> Rc<Event> {
+        self.was_read.clone()
+    }
+
     fn view(&mut self, feed: Feed) -> &mut FeedView {
         match feed {
             Feed::Orders => &mut self.orders,
@@ -79,19 +109,16 @@
     pub fn read_orders(&mut self, began: Millis, next: u64) {
         self.orders.read(began, next, fastrand::u64(..));
         self.untold_orders = Some((FeedTold { from: next, next, age: Millis(0) }, began));
+        self.was_read.notify(usize::MAX);
     }
 
     /// Takes an own read of servers that began at `began`, with what it changed.
     pub fn read_servers(&mut self, began: Millis, next: u64, changes: Vec<ServerChange>) {
         let from = self.servers.next().unwrap_or(next);
         self.servers.read(began, next, fastrand::u64(..));
-        let (from, mut all) = match self.untold_servers.take() {
-            Some((told, _, earlier)) if told.next == from => (told.from, earlier),
-            _ => (from, Vec::new()),
-        };
-        all.extend(changes);
-        let (from, all) = if all.len() > MAX_CHANGES { (next, Vec::new()) } else { (from, all) };
-        self.untold_servers = Some((FeedTold { from, next, age: Millis(0) }, began, all));
+        self.past.add(from, next, changes);
+        self.untold_servers = Some((next, began));
+        self.was_read.notify(usize::MAX);
     }
 
     /// Takes a message on orders; `true` if some were missed.
@@ -99,9 +126,21 @@
         self.orders.hear(told, now, fastrand::u64(..)) == FeedHeard::Missed
     }
 
-    /// Takes a message on servers; `true` if its changes are to be taken.
-    pub(crate) fn hear_servers(&mut self, told: FeedTold, now: Millis) -> bool {
-        self.servers.hear(told, now, fastrand::u64(..)) == FeedHeard::Applies
+    /// Takes a message on servers and returns the changes that it brings.
+    pub(crate) fn hear_servers(
+        &mut self,
+        told: FeedTold,
+        changes: Vec<ServerChange>,
+        now: Millis,
+    ) -> Vec<ServerChange> {
+        let from = self.servers.next();
+        match (self.servers.hear(told, now, fastrand::u64(..)), from) {
+            (FeedHeard::Applies, Some(from)) => {
+                self.past.add(from, told.next, changes.clone());
+                changes
+            }
+            _ => Vec::new(),
+        }
     }
 
     /// Returns what the others have not been told of orders.
@@ -112,7 +151,8 @@
 
     /// Returns what the others have not been told of servers.
     pub(crate) fn take_servers(&mut self, now: Millis) -> Option<(FeedTold, Vec<ServerChange>)> {
-        let (told, began, changes) = self.untold_servers.take()?;
-        Some((FeedTold { age: now.since(began), ..told }, changes))
+        let (next, began) = self.untold_servers.take()?;
+        let (from, changes) = self.past.told().unwrap_or((next, Vec::new()));
+        Some((FeedTold { from, next, age: now.since(began) }, changes))
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -71,6 +71,7 @@
         executor: Rc<LocalExecutor<'static>>,
     ) -> Self {
         let rollouts = Rollouts::new(settings.canary, settings.session_keep);
+        let feeds = Feeds::new(settings.feeds);
         Self {
             settings,
             dialect,
@@ -85,7 +86,7 @@
             registry: RefCell::new(Registry::new(RegistryPolicy::default())),
             is_registry_known: Cell::new(false),
             rollouts: RefCell::new(rollouts),
-            feeds: RefCell::default(),
+            feeds: RefCell::new(feeds),
             budgets: RefCell::default(),
             rates: RefCell::default(),
             pressure: Cell::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -29,7 +29,7 @@
 pub use facts::{
     AnswerFacts, AttemptFacts, Dialect, ModelAsk, PromptPart, ReportedLoad, RequestFacts, Usage,
 };
-pub use feeds::{Feed, Feeds, ServerChange};
+pub use feeds::{Feed, FeedPeriods, Feeds, ServerChange};
 pub use gateway::{Gateway, Standing};
 pub use net::{bind, connect, with_timeouts};
 pub use peers::{Peers, hear_peers, tell_peers};
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -12,7 +12,7 @@
 use redwingfold_core::{ByteBudget, Millis};
 use smol::net::UdpSocket;
 
-use crate::clock::sleep;
+use crate::clock::{sleep, within};
 use crate::feeds::ServerChange;
 use crate::gateway::Gateway;
 use crate::peer_message::PeerMessage;
@@ -25,12 +25,22 @@
 /// Turns between messages on roll-outs, which need not be known as soon.
 const ROLLOUT_TURNS: u32 = 5;
 
-/// Turns without news after which the peers are told that this one lives.
-const QUIET_TURNS: u32 = 20;
+/// Part of the peers, as a divisor, that hear of roll-outs at a time: each does about once a second, a
+/// fifth of the time in which a bad version must be left.
+const ROLLOUT_PART: usize = 2;
+
+/// Time without news after which the peers are told that this one lives.
+const QUIET: Millis = Millis(2_000);
 
 /// Bytes a second that this process spends on its peers. An operator grants 9 kB for all control.
 const BYTES_PER_SECOND: u64 = 7_000;
 
+/// Bytes that are saved up: a message of 60 bytes on a read of the store goes to 330 peers at once.
+const BYTES_SAVED: u64 = 24_000;
+
+/// Bytes of these that only messages on reads of the store may take.
+const KEPT_FOR_FEEDS: u64 = 20_000;
+
 /// Silence after which a peer gets no more messages.
 const GONE: Millis = Millis(20_000);
 
@@ -78,51 +88,102 @@
 
 /// Tells the peers for ever.
 ///
-/// What does not fit the bytes of a second goes to some of the peers, drawn anew each turn: each
-/// still hears of most, and those that missed a read of the store read themselves.
+/// What a read of the store brought goes out at once, to all: each moment later, one more gateway
+/// reads the same. What of the rest does not fit the bytes of a second goes to some of the peers, drawn
+/// anew each turn.
 pub async fn tell_peers(gw: Rc<Gateway>, socket: UdpSocket, peers: Peers) {
-    let mut budget = ByteBudget::new(BYTES_PER_SECOND, gw.now());
-    let mut quiet = 0;
-    for turn in 0_u32.. {
-        sleep(EVERY).await;
-        let message = message(&gw, turn % ROLLOUT_TURNS == 0);
-        quiet += 1;
-        if message.is_empty() && quiet < QUIET_TURNS {
-            continue;
+    let budget = ByteBudget::with_depth(BYTES_PER_SECOND, BYTES_SAVED, gw.now());
+    let mut teller = Teller { gw, socket, peers, budget, told_at: Millis(0), turn: 0 };
+    let was_read = teller.gw.with_feeds(|feeds| feeds.was_read());
+    let mut next_turn = teller.gw.now();
+    loop {
+        // Listened to before the look, so that a read in between is not overheard.
+        let heard = was_read.listen();
+        teller.tell_feeds().await;
+        if teller.gw.now() >= next_turn {
+            next_turn = teller.gw.now().after(EVERY);
+            teller.tell_rest().await;
         }
-        quiet = 0;
+        within(next_turn.since(teller.gw.now()), heard).await;
+    }
+}
+
+struct Teller {
+    gw: Rc<Gateway>,
+    socket: UdpSocket,
+    peers: Peers,
+    budget: ByteBudget,
+    told_at: Millis,
+    turn: u32,
+}
+
+impl Teller {
+    /// Tells all peers what was read since it last did.
+    async fn tell_feeds(&mut self) {
+        let feeds = feed_message(&self.gw);
+        if feeds.is_empty() {
+            return;
+        }
+        let present = self.present();
+        self.tell(feeds, &present, 0).await;
+    }
+
+    /// Tells of roll-outs, loads, or only that it lives.
+    async fn tell_rest(&mut self) {
+        let present = self.present();
+        self.gw.with_feeds(|feeds| feeds.share_with(present.len() + 1));
+        self.turn = self.turn.wrapping_add(1);
+        let rollouts = rollout_message(&self.gw);
+        if self.turn.is_multiple_of(ROLLOUT_TURNS) && !rollouts.is_empty() {
+            let part = &present[..present.len().div_ceil(ROLLOUT_PART)];
+            self.tell(rollouts, part, KEPT_FOR_FEEDS).await;
+        }
+        let mut loads = PeerMessage::default();
+        loads.add_loads(self.gw.loads.take_news());
+        if !loads.is_empty() || self.gw.now().since(self.told_at) >= QUIET {
+            self.tell(loads, &present, KEPT_FOR_FEEDS).await;
+        }
+    }
+
+    /// Returns the peers in an order drawn anew.
+    fn present(&self) -> Vec<SocketAddr> {
+        let mut present = self.peers.present(self.gw.now());
+        fastrand::shuffle(&mut present);
+        present
+    }
+
+    /// Sends a message to peers while there are bytes for it beyond `kept`.
+    async fn tell(&mut self, message: PeerMessage, peers: &[SocketAddr], kept: u64) {
+        self.told_at = self.gw.now();
         let Some(bytes) = datagram(message) else {
-            gw.telemetry.count("peers.too_long", 1);
-            continue;
+            self.gw.telemetry.count("peers.too_long", 1);
+            return;
         };
-        let mut present = peers.present(gw.now());
-        fastrand::shuffle(&mut present);
-        for peer in present {
-            if !budget.try_take(bytes.len() as u64, gw.now()) {
-                gw.telemetry.count("peers.left_out", 1);
-            } else if socket.send_to(&bytes, peer).await.is_err() {
+        for peer in peers {
+            if !self.budget.try_take_leaving(bytes.len() as u64, kept, self.gw.now()) {
+                self.gw.telemetry.count("peers.left_out", 1);
+            } else if self.socket.send_to(&bytes, *peer).await.is_err() {
                 // A message that cannot be sent is overtaken by the next.
-                gw.telemetry.count("peers.unsent", 1);
+                self.gw.telemetry.count("peers.unsent", 1);
             }
         }
     }
 }
 
-fn message(gw: &Gateway, with_rollouts: bool) -> PeerMessage {
+fn feed_message(gw: &Gateway) -> PeerMessage {
     let now = gw.now();
-    let mut message = PeerMessage::default();
-    message.add_loads(gw.loads.take_news());
-    gw.with_feeds(|feeds| {
-        message.orders = feeds.take_orders(now).map(Into::into);
-        message.servers = feeds
+    gw.with_feeds(|feeds| PeerMessage {
+        orders: feeds.take_orders(now).map(Into::into),
+        servers: feeds
             .take_servers(now)
-            .map(|(told, changes)| (told.into(), changes.iter().map(Into::into).collect()));
-    });
-    if with_rollouts {
-        let news = gw.with_rollouts(|r| r.news(now));
-        message.rollouts = news.iter().map(Into::into).collect();
-    }
-    message
+            .map(|(told, changes)| (told.into(), changes.iter().map(Into::into).collect())),
+        ..PeerMessage::default()
+    })
+}
+
+fn rollout_message(gw: &Gateway) -> PeerMessage {
+    let news = gw.with_rollouts(|r| r.news(gw.now()));
+    PeerMessage { rollouts: news.iter().map(Into::into).collect(), ..PeerMessage::default() }
 }
 
 /// Writes a message; what makes it too long for a datagram is left out, the least needed first.
@@ -133,6 +194,8 @@
     }
     message.sent.clear();
     message.reports.clear();
+    // Without its changes it would confirm what it does not tell.
+    message.servers = None;
     let bytes = postcard::to_stdvec(&message).ok()?;
     (bytes.len() <= MAX_DATAGRAM).then_some(bytes)
 }
@@ -165,10 +228,10 @@
         let changes: Result<Vec<ServerChange>, _> =
             changes.into_iter().map(TryInto::try_into).collect();
         match changes {
-            Ok(changes) if gw.with_feeds(|feeds| feeds.hear_servers(told.into(), now)) => {
-                gw.take_changes(changes);
+            Ok(changes) => {
+                let heard = gw.with_feeds(|feeds| feeds.hear_servers(told.into(), changes, now));
+                gw.take_changes(heard);
             }
-            Ok(_) => {}
             Err(_) => gw.telemetry.count("peers.unreadable", 1),
         }
     }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -4,6 +4,8 @@
     CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SizePolicy,
 };
 
+use crate::feeds::FeedPeriods;
+
 /// What a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
@@ -35,6 +37,8 @@
     pub placement: PlacementPolicy,
     /// When larger models are asked.
     pub sizes: SizePolicy,
+    /// How often the store's feeds are read.
+    pub feeds: FeedPeriods,
 }
 
 impl GatewaySettings {
@@ -64,6 +68,7 @@
             health: HealthPolicy::default(),
             placement: PlacementPolicy::default(),
             sizes: SizePolicy::default(),
+            feeds: FeedPeriods::default(),
         }
     }
 }
