feat(core): let one gateway write the word on a roll-out, and the others hear of it

Change: core/src/serving/status.rs decides who writes. That a roll-out runs waits a drawn time; that it has ended is written at once. Gateways tell each other what the store says, at once after a write, and read the status only before a write or each 8 s.

Tests: core/tests/status.rs plays 1 to 28 gateways with lost answers and words, freezes, restarts and dissent: the status ends once, and last. Without the condition of a write it ends twice (planted). 28 gateways make at most 28 calls, against 112.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -54,7 +54,7 @@
     EventId, EventSplitter, Fault, FeedHeard, FeedPast, FeedTold, FeedView, HealthPolicy, PeerLoad,
     PeerLoads, Phase, Place, PlacementPolicy, Pressure, Priority, ReadRates, Registry,
     RegistryPolicy, Repeat, RepeatBudget, RepeatUse, RolloutOrder, Route, RouteEvidence, RouteName,
-    ServerHealth, ServerReport, ServerState, Service, ServiceName, Shared, SizePolicy, StreamRules,
-    Times, WholeEvents, Work, place,
+    ServerHealth, ServerReport, ServerState, Service, ServiceName, Shared, SizePolicy, StatusBook,
+    StreamRules, Times, WholeEvents, Work, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -183,8 +183,8 @@
 /// The time from `t` to `t + dt` is drawn with a density of `exp(lambda * t / most)`. With `lambda` of
 /// one more than the logarithm of the fleet's size, about one gateway is expected in the first part
 /// of the time, whatever that size is.
-fn wait(most: Millis, fleet: usize, draw: u64) -> Millis {
-    let lambda = (fleet as f64).ln() + 1.0;
+pub(crate) fn wait(most: Millis, fleet: usize, draw: u64) -> Millis {
+    let lambda = (fleet.max(1) as f64).ln() + 1.0;
     let even = draw as f64 / u64::MAX as f64;
     let part = (even * lambda.exp_m1()).ln_1p() / lambda;
     Millis((part * most.0 as f64) as u64)
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -10,6 +10,7 @@
 mod placement;
 mod registry;
 mod sizes;
+mod status;
 
 pub use budget::{RepeatBudget, RepeatUse};
 pub use canary::{
@@ -26,3 +27,4 @@
 pub use placement::{Place, PlacementPolicy, Work, place};
 pub use registry::{BackendServer, Registry, RegistryPolicy, ServerState};
 pub use sizes::{Pressure, SizePolicy};
+pub use status::StatusBook;
--- /dev/null
+++ b/core/tests/status.rs
@@ -0,0 +1,182 @@
+//! The word on a roll-out's end, written by one of many gateways.
+
+use redwingfold_core::{Millis, Phase, ServiceName, StatusBook, VersionName};
+
+/// When the roll-out ends, as the first gateway sees it; the others see it up to a second later.
+const ENDS_AT: u64 = 5_000;
+
+/// Steps of a gateway, in milliseconds.
+const STEP: u64 = 300;
+
+/// A gateway: what it knows of the store, and as of which record.
+struct Gateway {
+    book: StatusBook,
+    /// What it makes of the roll-out itself, and from when on.
+    end: (Phase, u64),
+    /// A write on its way: when it arrives, on which number of records it depends, and its word.
+    write: Option<(u64, usize, Option<Phase>)>,
+    frozen_until: u64,
+}
+
+/// What goes wrong.
+#[derive(Clone, Copy)]
+struct Faults {
+    /// Answers of the store that get lost, its work being done.
+    lost: f64,
+    /// Words between gateways that get lost.
+    unheard: f64,
+    /// Freezes and restarts, each second and fleet.
+    stops: f64,
+    /// Gateways that come to the other end than most.
+    dissent: f64,
+    /// Whether the store heeds the condition of a write.
+    is_conditional: bool,
+}
+
+/// Time from a read to the arrival of the write that it leads to.
+const WRITE_TAKES: u64 = 40;
+
+struct Played {
+    records: Vec<Option<Phase>>,
+    calls: u64,
+}
+
+fn names() -> (ServiceName, VersionName) {
+    ("slips".into(), "v2".parse().expect("a version"))
+}
+
+fn play(n: usize, faults: Faults, seed: u64) -> Played {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let (service, target) = names();
+    let gateway = |rng: &mut fastrand::Rng| Gateway {
+        book: StatusBook::default(),
+        end: (
+            if rng.f64() < faults.dissent { Phase::Done } else { Phase::RolledBack },
+            ENDS_AT + rng.u64(..1_000),
+        ),
+        write: None,
+        frozen_until: 0,
+    };
+    let mut gateways: Vec<_> = (0..n).map(|_| gateway(&mut rng)).collect();
+    let mut played = Played { records: Vec::new(), calls: 0 };
+    for ms in (0..20_000).step_by(10) {
+        if ms % 1_000 == 0 && rng.f64() < faults.stops {
+            let g = rng.usize(..n);
+            match rng.bool() {
+                true => gateways[g].frozen_until = ms + rng.u64(500..5_000),
+                false => gateways[g] = gateway(&mut rng),
+            }
+        }
+        for gw in &mut gateways {
+            arrive(gw, &mut played, faults, ms, &mut rng);
+        }
+        for g in 0..n {
+            // Gateways step out of step with each other.
+            if (ms + 10 * g as u64) % STEP != 0 || gateways[g].frozen_until > ms {
+                continue;
+            }
+            let gw = &mut gateways[g];
+            let phase = if ms >= gw.end.1 { gw.end.0 } else { Phase::Trial };
+            // An end that the store has gone before what this gateway makes of it.
+            let phase = gw.book.ended(&service, &target).unwrap_or(phase);
+            let draw = rng.u64(..);
+            if gw.book.is_due(&service, &target, phase, n, Millis(ms), draw) {
+                step(gw, &mut played, phase, faults, ms, &mut rng);
+            }
+            tell(g, &mut gateways, faults, ms, &mut rng);
+        }
+    }
+    played
+}
+
+/// Reads the status, and sends off the write of what it lacks.
+fn step(
+    gw: &mut Gateway,
+    played: &mut Played,
+    phase: Phase,
+    faults: Faults,
+    ms: u64,
+    rng: &mut fastrand::Rng,
+) {
+    let (service, target) = names();
+    played.calls += 1;
+    if rng.f64() < faults.lost {
+        return;
+    }
+    let at = played.records.len();
+    if let Some(last) = played.records.last() {
+        gw.book.recorded(&service, &target, *last);
+    }
+    if gw.book.is_missing(&service, &target, phase) {
+        played.calls += 1;
+        gw.write = Some((ms + WRITE_TAKES, at, (phase >= Phase::Done).then_some(phase)));
+    }
+}
+
+/// Lets a write arrive at the store; its answer may get lost.
+fn arrive(gw: &mut Gateway, played: &mut Played, faults: Faults, ms: u64, rng: &mut fastrand::Rng) {
+    let (service, target) = names();
+    let Some((_, at, word)) = gw.write.take_if(|(arrives, _, _)| *arrives <= ms) else { return };
+    if faults.is_conditional && played.records.len() != at {
+        return;
+    }
+    played.records.push(word);
+    if rng.f64() >= faults.lost {
+        gw.book.recorded(&service, &target, word);
+    }
+}
+
+/// Tells the others what the store says.
+fn tell(g: usize, gateways: &mut [Gateway], faults: Faults, ms: u64, rng: &mut fastrand::Rng) {
+    let (service, target) = names();
+    let teller = &gateways[g].book;
+    if teller.is_missing(&service, &target, Phase::Trial) {
+        return;
+    }
+    let ended = teller.ended(&service, &target);
+    for other in gateways.iter_mut().filter(|other| other.frozen_until <= ms) {
+        let knows = other.book.ended(&service, &target).is_some();
+        let is_news = ended.is_some() || other.book.is_missing(&service, &target, Phase::Trial);
+        if !knows && is_news && rng.f64() >= faults.unheard {
+            other.book.recorded(&service, &target, ended);
+        }
+    }
+}
+
+const FAULTS: Faults =
+    Faults { lost: 0.3, unheard: 0.5, stops: 0.8, dissent: 0.3, is_conditional: true };
+
+/// Answers of the store and words between gateways get lost, gateways freeze and start anew, and some
+/// come to another end than most. The operator acts on the first end that it reads: servers stop. So
+/// the status says that the roll-out runs, then how it ended, and nothing after that.
+#[test]
+fn status_ends_once_and_for_good() {
+    for n in [1, 3, 4, 28] {
+        for seed in 0..60 {
+            let records = play(n, FAULTS, seed).records;
+            let ends: Vec<_> = records.iter().flatten().collect();
+            assert_eq!(ends.len(), 1, "{n} {seed}: {records:?}");
+            assert!(records.last().is_some_and(Option::is_some), "{n} {seed}: {records:?}");
+        }
+    }
+}
+
+/// The check above finds what it should: with a store that writes without the condition, two gateways
+/// that come together record two ends.
+#[test]
+fn writes_without_a_condition_end_twice() {
+    let unconditional = Faults { is_conditional: false, ..FAULTS };
+    let ends = |seed| play(28, unconditional, seed).records.iter().flatten().count();
+    assert!((0..60).any(|seed| ends(seed) > 1));
+}
+
+/// Load pattern: 28 gateways come to the end of a roll-out within a second. With a read and a write of
+/// each for both words they make 112 calls.
+#[test]
+fn few_gateways_write() {
+    let calm = Faults { lost: 0.0, unheard: 0.02, stops: 0.0, dissent: 0.0, is_conditional: true };
+    for seed in 0..10 {
+        let calls = play(28, calm, seed).calls;
+        assert!(calls <= 28, "{seed}: {calls}");
+    }
+}
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -1,8 +1,5 @@
 //! The feeds of the store that gateways read together: orders, and backend servers.
 
-use std::rc::Rc;
-
-use event_listener::Event;
 use redwingfold_core::{BackendId, BackendServer, FeedHeard, FeedPast, FeedTold, FeedView, Millis};
 
 /// A feed of the store.
@@ -56,7 +53,6 @@
     past: FeedPast<ServerChange>,
     untold_orders: Option<(FeedTold, Millis)>,
     untold_servers: Option<(u64, Millis)>,
-    was_read: Rc<Event>,
 }
 
 impl Feeds {
@@ -68,7 +64,6 @@
             past: FeedPast::new(MAX_CHANGES),
             untold_orders: None,
             untold_servers: None,
-            was_read: Rc::new(Event::new()),
         }
     }
 
@@ -78,11 +73,6 @@
         self.servers.share_with(fleet);
     }
 
-    /// Returns what happens whenever this gateway has read a feed.
-    pub(crate) fn was_read(&self) -> Rc<Event> {
-        self.was_read.clone()
-    }
-
     fn view(&mut self, feed: Feed) -> &mut FeedView {
         match feed {
             Feed::Orders => &mut self.orders,
@@ -106,19 +96,17 @@
     }
 
     /// Takes an own read of orders that began at `began`.
-    pub fn read_orders(&mut self, began: Millis, next: u64) {
+    pub(crate) fn read_orders(&mut self, began: Millis, next: u64) {
         self.orders.read(began, next, fastrand::u64(..));
         self.untold_orders = Some((FeedTold { from: next, next, age: Millis(0) }, began));
-        self.was_read.notify(usize::MAX);
     }
 
     /// Takes an own read of servers that began at `began`, with what it changed.
-    pub fn read_servers(&mut self, began: Millis, next: u64, changes: Vec<ServerChange>) {
+    pub(crate) fn read_servers(&mut self, began: Millis, next: u64, changes: Vec<ServerChange>) {
         let from = self.servers.next().unwrap_or(next);
         self.servers.read(began, next, fastrand::u64(..));
         self.past.add(from, next, changes);
         self.untold_servers = Some((next, began));
-        self.was_read.notify(usize::MAX);
     }
 
     /// Takes a message on orders; `true` if some were missed.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -7,8 +7,8 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, Millis, Pressure, ReadRates, Registry, RegistryPolicy,
-    RepeatBudget, RepeatUse, ServiceName,
+    BackendId, BackendServer, Catalog, Millis, Phase, Pressure, ReadRates, Registry,
+    RegistryPolicy, RepeatBudget, RepeatUse, ServiceName, VersionName,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -17,7 +17,7 @@
 use crate::facts::Dialect;
 use crate::feeds::{Feeds, ServerChange};
 use crate::load::LoadTable;
-use crate::rollouts::Rollouts;
+use crate::rollouts::{Moved, Rollouts};
 use crate::settings::GatewaySettings;
 
 /// Whether a gateway takes requests.
@@ -54,6 +54,8 @@
     standing: Cell<Standing>,
     ends_at: Cell<Millis>,
     moved: Event,
+    /// Something that the peers should hear at once.
+    pub(crate) news: Event,
 }
 
 impl fmt::Debug for Gateway {
@@ -93,6 +95,7 @@
             standing: Cell::default(),
             ends_at: Cell::new(Millis(u64::MAX)),
             moved: Event::new(),
+            news: Event::new(),
         }
     }
 
@@ -214,6 +217,34 @@
         f(&mut self.feeds.borrow_mut())
     }
 
+    /// Takes an own read of orders that began at `began` and ended at offset `next`.
+    pub fn read_orders(&self, began: Millis, next: u64) {
+        self.with_feeds(|feeds| feeds.read_orders(began, next));
+        self.news.notify(usize::MAX);
+    }
+
+    /// Takes an own read of servers that began at `began` and ended at offset `next`, with what it
+    /// changed.
+    pub fn read_servers(&self, began: Millis, next: u64, changes: Vec<ServerChange>) {
+        self.with_feeds(|feeds| feeds.read_servers(began, next, changes));
+        self.news.notify(usize::MAX);
+    }
+
+    /// Moves all roll-outs on; returns those that changed their phase.
+    pub fn step_rollouts(&self) -> Vec<Moved> {
+        let moved = self.with_rollouts(|r| r.step(self.now()));
+        if !moved.is_empty() {
+            self.news.notify(usize::MAX);
+        }
+        moved
+    }
+
+    /// Notes that this gateway has written the status of a roll-out: how it ended, or that it runs.
+    pub fn wrote_status(&self, service: &ServiceName, target: &VersionName, ended: Option<Phase>) {
+        self.with_rollouts(|r| r.wrote(service, target, ended, self.now()));
+        self.news.notify(usize::MAX);
+    }
+
     pub(crate) fn with_registry<T>(&self, f: impl FnOnce(&mut Registry) -> T) -> T {
         f(&mut self.registry.borrow_mut())
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,7 +33,7 @@
 pub use gateway::{Gateway, Standing};
 pub use net::{bind, connect, with_timeouts};
 pub use peers::{Peers, hear_peers, tell_peers};
-pub use rollouts::{RolloutNews, Rollouts};
+pub use rollouts::{Moved, Recorded, RolloutNews, Rollouts};
 pub use serve::{serve_callers, serve_pages};
 pub use settings::GatewaySettings;
 pub use upstream::{CallError, Caller, call};
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{
-    BackendServer, Counts, FeedTold, Millis, ParseIdError, RouteEvidence, ServerReport,
+    BackendServer, Counts, FeedTold, Millis, ParseIdError, Phase, RouteEvidence, ServerReport,
     ServerState, Times,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::feeds::ServerChange;
 use crate::load::LoadNews;
-use crate::rollouts::RolloutNews;
+use crate::rollouts::{Recorded, RolloutNews};
 
 /// One gateway's message.
 #[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
@@ -61,6 +61,15 @@
     routes: Vec<(u32, [CountsWire; 2])>,
     current_under_way: u64,
     is_rolled_back: bool,
+    recorded: RecordedWire,
+}
+
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+enum RecordedWire {
+    Unknown,
+    Running,
+    Done,
+    RolledBack,
 }
 
 impl From<FeedTold> for FeedWire {
@@ -137,6 +146,29 @@
             routes: news.routes.iter().map(|(route, e)| (*route, messages(e))).collect(),
             current_under_way: news.current_under_way,
             is_rolled_back: news.is_rolled_back,
+            recorded: news.recorded.into(),
+        }
+    }
+}
+
+impl From<Recorded> for RecordedWire {
+    fn from(recorded: Recorded) -> Self {
+        match recorded {
+            Recorded::Unknown => Self::Unknown,
+            Recorded::Ended(Phase::Done) => Self::Done,
+            Recorded::Ended(Phase::RolledBack) => Self::RolledBack,
+            Recorded::Running | Recorded::Ended(_) => Self::Running,
+        }
+    }
+}
+
+impl From<RecordedWire> for Recorded {
+    fn from(message: RecordedWire) -> Self {
+        match message {
+            RecordedWire::Unknown => Self::Unknown,
+            RecordedWire::Running => Self::Running,
+            RecordedWire::Done => Self::Ended(Phase::Done),
+            RecordedWire::RolledBack => Self::Ended(Phase::RolledBack),
         }
     }
 }
@@ -178,6 +210,7 @@
             routes: message.routes.into_iter().map(|(route, n)| (route, evidence(n))).collect(),
             current_under_way: message.current_under_way,
             is_rolled_back: message.is_rolled_back,
+            recorded: message.recorded.into(),
         })
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -89,22 +89,21 @@
 /// Tells the peers for ever.
 ///
 /// What a read of the store brought goes out at once, to all: each moment later, one more gateway
-/// reads the same. What of the rest does not fit the bytes of a second goes to some of the peers, drawn
+/// reads the same. So does the end of a roll-out. What of the rest does not fit the bytes of a second goes to some of the peers, drawn
 /// anew each turn.
 pub async fn tell_peers(gw: Rc<Gateway>, socket: UdpSocket, peers: Peers) {
     let budget = ByteBudget::with_depth(BYTES_PER_SECOND, BYTES_SAVED, gw.now());
-    let mut teller = Teller { gw, socket, peers, budget, told_at: Millis(0), turn: 0 };
-    let was_read = teller.gw.with_feeds(|feeds| feeds.was_read());
-    let mut next_turn = teller.gw.now();
+    let mut teller = Teller { gw: gw.clone(), socket, peers, budget, told_at: Millis(0), turn: 0 };
+    let mut next_turn = gw.now();
     loop {
-        // Listened to before the look, so that a read in between is not overheard.
-        let heard = was_read.listen();
-        teller.tell_feeds().await;
-        if teller.gw.now() >= next_turn {
-            next_turn = teller.gw.now().after(EVERY);
+        // Listened to before the look, so that news in between are not overheard.
+        let news = gw.news.listen();
+        teller.tell_news().await;
+        if gw.now() >= next_turn {
+            next_turn = gw.now().after(EVERY);
             teller.tell_rest().await;
         }
-        within(next_turn.since(teller.gw.now()), heard).await;
+        within(next_turn.since(gw.now()), news).await;
     }
 }
 
@@ -118,20 +117,23 @@
 }
 
 impl Teller {
-    /// Tells all peers what was read since it last did.
-    async fn tell_feeds(&mut self) {
-        let feeds = feed_message(&self.gw);
-        if feeds.is_empty() {
-            return;
+    /// Tells all peers what was read, and how a roll-out ended.
+    async fn tell_news(&mut self) {
+        let is_urgent = self.gw.with_rollouts(|r| r.take_urgent());
+        let rollouts = if is_urgent { rollout_message(&self.gw) } else { PeerMessage::default() };
+        let messages = [feed_message(&self.gw), rollouts];
+        for message in messages.into_iter().filter(|message| !message.is_empty()) {
+            let present = self.present();
+            self.tell(message, &present, 0).await;
         }
-        let present = self.present();
-        self.tell(feeds, &present, 0).await;
     }
 
     /// Tells of roll-outs, loads, or only that it lives.
     async fn tell_rest(&mut self) {
         let present = self.present();
-        self.gw.with_feeds(|feeds| feeds.share_with(present.len() + 1));
+        let fleet = present.len() + 1;
+        self.gw.with_feeds(|feeds| feeds.share_with(fleet));
+        self.gw.with_rollouts(|rollouts| rollouts.share_with(fleet));
         self.turn = self.turn.wrapping_add(1);
         let rollouts = rollout_message(&self.gw);
         if self.turn.is_multiple_of(ROLLOUT_TURNS) && !rollouts.is_empty() {
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -6,7 +6,7 @@
 
 use redwingfold_core::{
     Arm, Canary, CanaryPolicy, Millis, Phase, RolloutOrder, RouteEvidence, RouteName, ServiceName,
-    Shared, VersionName,
+    Shared, StatusBook, VersionName,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -19,6 +19,9 @@
 /// Age of an order when the first gateway reads it: half of the time between reads of a fleet.
 const ORDER_AGE: Millis = Millis(250);
 
+/// How long the others are told of an end: each of them hears of roll-outs once a second.
+const END_TOLD: Millis = Millis(5_000);
+
 /// Time to the first byte beside the reading of the prompt: a few steps of a batch.
 const STEP: Millis = Millis(40);
 
@@ -43,6 +46,20 @@
     pub current_under_way: u64,
     /// Whether it has found the target bad.
     pub is_rolled_back: bool,
+    /// What the store says, as far as it knows: nothing, that the roll-out runs, or how it ended.
+    pub recorded: Recorded,
+}
+
+/// What the store says of a roll-out.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Recorded {
+    /// Nothing that is known.
+    #[default]
+    Unknown,
+    /// It runs.
+    Running,
+    /// It ended so.
+    Ended(Phase),
 }
 
 #[derive(Debug, Default)]
@@ -54,6 +71,7 @@
     /// Versions that were rolled back.
     withdrawn: HashSet<VersionName>,
     canary: Option<Canary>,
+    ended_at: Option<Millis>,
     routes: HashMap<u32, RouteEvidence>,
     current_under_way: Rc<Cell<u64>>,
     others: HashMap<String, (RolloutNews, Millis)>,
@@ -66,6 +84,24 @@
     policy: CanaryPolicy,
     pub(crate) sessions: Sessions,
     services: HashMap<ServiceName, ServiceVersions>,
+    statuses: StatusBook,
+    /// Gateways that know of each other, this one included.
+    fleet: usize,
+    /// Whether something has happened that the others should hear at once.
+    is_urgent: bool,
+}
+
+/// A roll-out that changed its phase, and on which evidence.
+#[derive(Clone, Debug)]
+pub struct Moved {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that is rolled out.
+    pub target: VersionName,
+    /// The new phase.
+    pub phase: Phase,
+    /// What was known.
+    pub shared: Shared,
 }
 
 /// A request under way at the version in service; it counts until this is dropped.
@@ -124,17 +160,23 @@
 
 impl Rollouts {
     pub(crate) fn new(policy: CanaryPolicy, session_keep: Millis) -> Self {
-        Self { policy, sessions: Sessions::new(session_keep), services: HashMap::new() }
+        Self {
+            policy,
+            sessions: Sessions::new(session_keep),
+            services: HashMap::new(),
+            statuses: StatusBook::default(),
+            fleet: 1,
+            is_urgent: false,
+        }
     }
 
-    /// Takes an operator's order; `ended` is what the store says of its end.
-    pub fn order(
-        &mut self,
-        service: &ServiceName,
-        order: RolloutOrder,
-        ended: Option<Phase>,
-        now: Millis,
-    ) {
+    /// Notes how many gateways know of each other, this one included.
+    pub(crate) fn share_with(&mut self, fleet: usize) {
+        self.fleet = fleet;
+    }
+
+    /// Takes an operator's order.
+    pub fn order(&mut self, service: &ServiceName, order: RolloutOrder, now: Millis) {
         let versions = self.services.entry(service.clone()).or_default();
         if versions.canary.as_ref().is_some_and(|c| *c.order() == order) {
             return;
@@ -144,17 +186,51 @@
         versions.withdrawn.remove(&order.target);
         versions.routes.clear();
         versions.others.clear();
+        versions.ended_at = None;
         versions.canary = Some(Canary::new(self.policy, order, ORDER_AGE, now));
-        if let Some(phase) = ended {
-            self.end(service, phase);
+        self.statuses.forget(service);
+    }
+
+    /// Takes what the store says of a roll-out: how it ended, or that it runs. One that another gateway
+    /// ended has ended here too.
+    pub fn recorded(
+        &mut self,
+        service: &ServiceName,
+        target: &VersionName,
+        ended: Option<Phase>,
+        now: Millis,
+    ) {
+        self.statuses.recorded(service, target, ended);
+        let canary = self.services.get(service).and_then(|v| v.canary.as_ref());
+        let is_same = canary.is_some_and(|c| c.order().target == *target);
+        if let (true, Some(phase)) = (is_same, ended) {
+            self.end(service, phase, now);
         }
     }
 
-    /// Ends a roll-out as the store says.
-    pub fn end(&mut self, service: &ServiceName, phase: Phase) {
+    /// Notes that this gateway has written a status. The others hear of it at once, so that they need not
+    /// look.
+    pub(crate) fn wrote(
+        &mut self,
+        service: &ServiceName,
+        target: &VersionName,
+        ended: Option<Phase>,
+        now: Millis,
+    ) {
+        self.recorded(service, target, ended, now);
+        self.is_urgent = true;
+    }
+
+    /// Says whether the others should hear at once of what happened here since this was last asked.
+    pub(crate) fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.is_urgent)
+    }
+
+    fn end(&mut self, service: &ServiceName, phase: Phase, now: Millis) {
         let Some(versions) = self.services.get_mut(service) else { return };
         let Some(canary) = &mut versions.canary else { return };
         canary.end(phase);
+        versions.ended_at.get_or_insert(now);
         let target = canary.order().target.clone();
         match phase {
             Phase::Done => {
@@ -289,14 +365,23 @@
     pub fn news(&self, now: Millis) -> Vec<RolloutNews> {
         let news = |(service, v): (&ServiceName, &ServiceVersions)| {
             let canary = v.canary.as_ref()?;
+            let is_recent = v.ended_at.is_none_or(|at| now.since(at) < END_TOLD);
             let is_told = match canary.phase() {
                 Phase::Trial | Phase::Ramp | Phase::Full => true,
-                Phase::Done => false,
-                Phase::RolledBack => canary.elapsed(now) < canary.order().window,
+                Phase::Done => is_recent,
+                Phase::RolledBack => is_recent || canary.elapsed(now) < canary.order().window,
             };
             if !is_told {
                 return None;
             }
+            let target = &canary.order().target;
+            let recorded = match self.statuses.ended(service, target) {
+                Some(phase) => Recorded::Ended(phase),
+                None if self.statuses.is_missing(service, target, Phase::Trial) => {
+                    Recorded::Unknown
+                }
+                None => Recorded::Running,
+            };
             Some(RolloutNews {
                 service: service.clone(),
                 target: canary.order().target.clone(),
@@ -304,6 +389,7 @@
                 routes: v.routes.clone(),
                 current_under_way: v.current_under_way.get(),
                 is_rolled_back: canary.phase() == Phase::RolledBack,
+                recorded,
             })
         };
         self.services.iter().filter_map(news).collect()
@@ -321,16 +407,24 @@
         }
         canary.is_older(news.elapsed, now);
         let is_new = news.is_rolled_back && canary.phase() < Phase::Done;
-        let service = news.service.clone();
+        let (service, target, recorded) =
+            (news.service.clone(), news.target.clone(), news.recorded);
         versions.others.insert(from.to_owned(), (news, now));
         if is_new {
-            self.end(&service, Phase::RolledBack);
+            self.end(&service, Phase::RolledBack, now);
+        }
+        match recorded {
+            Recorded::Ended(phase) => self.recorded(&service, &target, Some(phase), now),
+            Recorded::Running if self.statuses.is_missing(&service, &target, Phase::Trial) => {
+                self.recorded(&service, &target, None, now);
+            }
+            Recorded::Running | Recorded::Unknown => {}
         }
         is_new
     }
 
     /// Moves all roll-outs on; returns those that changed their phase.
-    pub fn step(&mut self, now: Millis) -> Vec<(ServiceName, VersionName, Phase, Shared)> {
+    pub(crate) fn step(&mut self, now: Millis) -> Vec<Moved> {
         let mut moved = Vec::new();
         for (service, versions) in &mut self.services {
             let shared = versions.shared(now);
@@ -338,28 +432,36 @@
             let before = canary.phase();
             let phase = canary.step(&shared, now);
             if phase != before {
-                moved.push((service.clone(), canary.order().target.clone(), phase, shared));
+                let (service, target) = (service.clone(), canary.order().target.clone());
+                moved.push(Moved { service, target, phase, shared });
             }
         }
-        for (service, _, phase, _) in &moved {
-            self.end_if_over(service, *phase);
+        for moved in moved.iter().filter(|moved| moved.phase == Phase::RolledBack) {
+            self.end(&moved.service, moved.phase, now);
+            self.is_urgent = true;
         }
         moved
     }
 
-    fn end_if_over(&mut self, service: &ServiceName, phase: Phase) {
-        if phase == Phase::RolledBack {
-            self.end(service, phase);
-        }
+    /// Returns a roll-out whose status this gateway should write now, with its phase.
+    pub fn due_status(&mut self, now: Millis) -> Option<(ServiceName, VersionName, Phase)> {
+        let (fleet, statuses) = (self.fleet, &mut self.statuses);
+        self.services.iter().find_map(|(service, v)| {
+            let canary = v.canary.as_ref()?;
+            let (target, phase) = (&canary.order().target, canary.phase());
+            let draw = fastrand::u64(..);
+            let is_due = statuses.is_due(service, target, phase, fleet, now, draw);
+            is_due.then(|| (service.clone(), target.clone(), phase))
+        })
     }
 
-    /// Returns the roll-outs that the store should know of, each with its phase.
-    pub fn phases(&self) -> Vec<(ServiceName, RolloutOrder, Phase)> {
-        let phase = |(service, v): (&ServiceName, &ServiceVersions)| {
-            let canary = v.canary.as_ref()?;
-            Some((service.clone(), canary.order().clone(), canary.phase()))
-        };
-        self.services.iter().filter_map(phase).collect()
+    /// Says whether no roll-out is under way, and the store lacks no word on any.
+    pub fn is_idle(&self) -> bool {
+        self.services.iter().all(|(service, v)| match &v.canary {
+            None => true,
+            Some(c) if c.phase() < Phase::Done => false,
+            Some(c) => !self.statuses.is_missing(service, &c.order().target, c.phase()),
+        })
     }
 }
 
