fix(core): end good roll-outs before their deadline, and none of them by chance

Cause 2: the spread of a dozen times is a guess, and five standard errors of a guess are passed by chance by 5 of 500 played good versions.

The bar for times follows Student's distribution.

Tests: good_version_is_done_though_its_order_was_read_late is red with 0.97; good_version_is_done_in_time asks for 0 of 100 rolled back again (it was loosened to 1 by an earlier change).

--- a/core/src/serving/canary.rs
+++ b/core/src/serving/canary.rs
@@ -79,7 +79,7 @@
     pub fn is_longer(self, usual: Self) -> bool {
         let longer = self.mean() - usual.mean();
         let doubt = (self.error() + usual.error()).sqrt();
-        self.n >= MIN_TIMES && longer > MIN_LONGER && longer > doubt * SURE
+        self.n >= MIN_TIMES && longer > MIN_LONGER && longer > doubt * sure(self.n)
     }
 }
 
@@ -95,10 +95,20 @@
 /// Difference of the logarithms from which a version is slow: 1.8 times as long.
 const MIN_LONGER: f64 = 0.59;
 
-/// Standard errors that the difference must have; looked at a few hundred times in a roll-out, a
-/// good version passes this by chance less than once in a hundred roll-outs.
+/// Standard errors that the difference must have where their spread is known; looked at a few hundred
+/// times in a roll-out, a good version passes this by chance less than once in a hundred roll-outs.
 const SURE: f64 = 5.0;
 
+/// Returns the standard errors that the difference must have after `n` times.
+///
+/// The spread of a dozen times is itself a guess. With the same bar for few times as for many, 5 of 500
+/// played good versions were rolled back (core/tests/canary.rs, no failures); with the quantile of Student's distribution (its first terms
+/// by Cornish and Fisher), none of them, and a version eight times as slow got 34 requests in place of 22.
+fn sure(n: u64) -> f64 {
+    let freedom = n.saturating_sub(1).max(1) as f64;
+    SURE + (SURE.powi(3) + SURE) / (4.0 * freedom)
+}
+
 /// Answers of a version on one route, as sums that gateways can add up in any order.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Counts {
@@ -222,7 +232,7 @@
             ramp: per_mille(exposure * RAMP_PART),
             trial_until: PerMille(800),
             ramp_until: per_mille(1.0 - exposure * FULL_PART),
-            done_by: PerMille(970),
+            done_by: PerMille(955),
             min_rated: 3,
             // A version that fails one in six under load shows it in these with near certainty.
             min_full: 70,
--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -75,6 +75,11 @@
         self.next
     }
 
+    /// Returns as of when the feed is known, if it is known at all.
+    pub fn as_of(&self) -> Option<Millis> {
+        self.next.map(|_| self.fresh_at)
+    }
+
     /// Says whether this gateway should read.
     pub fn is_due(&self, now: Millis) -> bool {
         self.next.is_none() || now.since(self.fresh_at) >= self.patience
--- a/core/tests/canary.rs
+++ b/core/tests/canary.rs
@@ -40,9 +40,14 @@
 
 impl Fleet {
     fn new(gateways: usize, seed: u64) -> Self {
+        Self::that_read_late(gateways, seed, 0)
+    }
+
+    /// Makes gateways that take the order for younger than it is.
+    fn that_read_late(gateways: usize, seed: u64, late: u64) -> Self {
         let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
         let gateway = |_| Gateway {
-            canary: Canary::new(CanaryPolicy::default(), order.clone(), Millis(0), Millis(0)),
+            canary: Canary::new(CanaryPolicy::default(), order.clone(), Millis(0), Millis(late)),
             own: [RouteEvidence::default(); ROUTES],
             under_way: 0,
         };
@@ -192,11 +197,11 @@
     check_bad(|_, _, _| 0.6, Kind::Slow, "slow");
 }
 
-/// Good versions are done within their time, also where the version in service fails as often. One
-/// in a hundred may be rolled back by chance: that is what the tests' level allows.
+/// Good versions are done within their time, also where the version in service fails as often; there,
+/// one in a hundred may be rolled back by chance: that is what the level of the test of failures allows.
 #[test]
 fn good_version_is_done_in_time() {
-    for (usual, allowed) in [(0.0, 1), (0.05, 1)] {
+    for (usual, allowed) in [(0.0, 0), (0.05, 1)] {
         let version: Version = if usual == 0.0 { |_, _, _| 0.0 } else { |_, _, _| 0.05 };
         let rolled_back = (0..100)
             .filter(|&seed| {
@@ -211,6 +216,20 @@
     }
 }
 
+/// The store shows an order only 0.7 s after it was given, so that gateways take it for younger than it
+/// is. Requests still run at the old version at the end of the window. A good version is done all the
+/// same before its deadline, of which a twentieth is kept for that.
+#[test]
+fn good_version_is_done_though_its_order_was_read_late() {
+    for seed in 0..20 {
+        let mut fleet = Fleet::that_read_late(4, seed, 700);
+        fleet.gateways[0].under_way = 1;
+        let played = fleet.play(60, 0.0, |_, _, _| 0.0, Kind::Failed);
+        assert_eq!(played.phase, Phase::Done, "{seed}");
+        assert!(played.ended_at.is_some_and(|at| at < WINDOW), "{seed}: {:?}", played.ended_at);
+    }
+}
+
 /// A session runs on the version in service when the order comes. In the first half it stays
 /// there; one that began on the target never goes back, but after a roll-back.
 #[test]
--- a/core/tests/status.rs
+++ b/core/tests/status.rs
@@ -72,7 +72,7 @@
         }
         for g in 0..n {
             // Gateways step out of step with each other.
-            if (ms + 10 * g as u64) % STEP != 0 || gateways[g].frozen_until > ms {
+            if !(ms + 10 * g as u64).is_multiple_of(STEP) || gateways[g].frozen_until > ms {
                 continue;
             }
             let gw = &mut gateways[g];
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -85,6 +85,11 @@
         self.view(feed).next()
     }
 
+    /// Returns as of when a feed is known, if it is known at all.
+    pub fn as_of(&mut self, feed: Feed) -> Option<Millis> {
+        self.view(feed).as_of()
+    }
+
     /// Says whether this gateway should read a feed.
     pub fn is_due(&mut self, feed: Feed, now: Millis) -> bool {
         self.view(feed).is_due(now)
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -16,9 +16,6 @@
 /// Age at which another gateway's news no longer counts: it is gone or cut off.
 const MAX_NEWS_AGE: Millis = Millis(4_000);
 
-/// Age of an order when the first gateway reads it: half of the time between reads of a fleet.
-const ORDER_AGE: Millis = Millis(250);
-
 /// How long the others are told of an end: each of them hears of roll-outs once a second.
 const END_TOLD: Millis = Millis(5_000);
 
@@ -175,8 +172,14 @@
         self.fleet = fleet;
     }
 
-    /// Takes an operator's order.
-    pub fn order(&mut self, service: &ServiceName, order: RolloutOrder, now: Millis) {
+    /// Takes an operator's order that was given `elapsed` ago.
+    pub fn order(
+        &mut self,
+        service: &ServiceName,
+        order: RolloutOrder,
+        elapsed: Millis,
+        now: Millis,
+    ) {
         let versions = self.services.entry(service.clone()).or_default();
         if versions.canary.as_ref().is_some_and(|c| *c.order() == order) {
             return;
@@ -187,7 +190,7 @@
         versions.routes.clear();
         versions.others.clear();
         versions.ended_at = None;
-        versions.canary = Some(Canary::new(self.policy, order, ORDER_AGE, now));
+        versions.canary = Some(Canary::new(self.policy, order, elapsed, now));
         self.statuses.forget(service);
     }
 
