feat(gateway): close connections whose head takes too long

Cause: the parser has one timer for idle connections and heads, set to the longer of both. A caller that sends half of a head kept its connection as long as an idle one, and some thousand of them take all that a gateway has.

Change: gateway/src/head_watch.rs sees when a head begins and when it is whole; one that takes longer than the configuration's time-out ends its connection, within twice of that time.

Test: half_a_head_does_not_keep_a_connection; without the watch it waits in vain for the close. Not measured: processor time a connection, one timer each few seconds.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod feeds;
 mod flight_log;
 mod gateway;
+mod head_watch;
 mod load;
 mod net;
 mod peer_message;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, StatusCode};
+use http::{Request, Response, StatusCode};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -16,6 +16,7 @@
 use crate::answer::{Answer, text_answer};
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Standing};
+use crate::head_watch::HeadWatch;
 use crate::net::with_timeouts;
 use crate::pipeline::handle;
 
@@ -56,9 +57,14 @@
     }
     let limits = gw.catalog().map_or_else(CallLimits::default, |c| c.limits);
     let idle = limits.idle_timeout.max(limits.head_timeout).after(IDLE_SLACK);
+    let watch = HeadWatch::default();
     let service = service_fn(|req: Request<Incoming>| {
-        let gw = gw.clone();
-        async move { Ok::<_, Infallible>(handle(gw, req).await) }
+        let (gw, watch) = (gw.clone(), watch.clone());
+        watch.is_whole();
+        async move {
+            let (head, body) = handle(gw, req).await.into_parts();
+            Ok::<_, Infallible>(Response::from_parts(head, watch.answer(body)))
+        }
     });
     let is_ending = gw.standing() == Standing::Ending;
     let conn = http1::Builder::new()
@@ -66,7 +72,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(idle.0))
         .max_buf_size(limits.head_bytes.max(MIN_HEAD_BUFFER))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(watch.stream(stream)), service);
     let mut conn = pin!(conn);
     let ending = async {
         // A connection that came while the process ends is for one request, and stays for it.
@@ -76,14 +82,25 @@
         gw.ending().await;
         None
     };
-    let ended = smol::future::or(async { Some(conn.as_mut().await) }, ending);
-    let ended = match ended.await {
-        Some(ended) => ended,
-        None => {
-            conn.as_mut().graceful_shutdown();
-            conn.await
+    let late = async {
+        watch.is_late(limits.head_timeout).await;
+        gw.telemetry.count("connection.slow_head", 1);
+        gw.telemetry.debug("connection_closed", &[("why", &"a head took too long")]);
+    };
+    let served = async {
+        match smol::future::or(async { Some(conn.as_mut().await) }, ending).await {
+            Some(ended) => ended,
+            None => {
+                conn.as_mut().graceful_shutdown();
+                conn.as_mut().await
+            }
         }
     };
+    let ended = smol::future::or(served, async {
+        late.await;
+        Ok(())
+    });
+    let ended = ended.await;
     if let Err(e) = ended {
         gw.telemetry.count("connection.broken", 1);
         gw.telemetry.debug("connection_broken", &[("why", &crate::upstream::chain(&e))]);
--- a/standins/src/platform/caller.rs
+++ b/standins/src/platform/caller.rs
@@ -82,9 +82,12 @@
         buf[..n].to_vec()
     }
 
-    /// Says whether the other end has closed, and waits for it.
+    /// Says whether the other end has closed, and waits for it; one that only says nothing has not.
     pub fn is_closed(&mut self) -> bool {
-        self.some().is_empty()
+        match self.stream.read(&mut [0]) {
+            Ok(n) => n == 0,
+            Err(e) => e.kind() == io::ErrorKind::ConnectionReset,
+        }
     }
 }
 
