test(soak): disturb the ways to the store and to engines

The soak killed, froze and stopped processes and let store and engines misbehave; connections between them were never delayed, cut one way or lost. Each engine and the store now stand behind a proxy that cuts, delays, swallows what comes back, goes silent, or loses track of the connections that exist.

--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use redwingfold_standins::platform::StoreFault;
+use redwingfold_standins::{LinkFault, TcpProxy};
 
 use crate::world::World;
 
@@ -17,6 +18,13 @@
     Drain,
     /// A gateway stands still.
     Freeze(usize),
+    /// The way to an engine is disturbed, the engine drawn by a number.
+    EngineWay(usize, LinkFault),
+    /// The way to the store is disturbed.
+    StoreWay(LinkFault),
+    /// Something on the way to the store, and to an engine drawn by a number, loses track of all open
+    /// connections.
+    LostConnections(usize),
     /// A gateway is killed and started anew.
     Kill(usize),
     /// All gateways are killed at once and started anew.
@@ -54,7 +62,7 @@
     while at < length {
         let after = Duration::from_millis(rng.u64(50..900));
         at += after;
-        let fault = match rng.u32(..14) {
+        let fault = match rng.u32(..19) {
             0 => Fault::Configure,
             1 => Fault::Drain,
             2 => Fault::Freeze(rng.usize(..gateways)),
@@ -64,6 +72,9 @@
             7 => Fault::NewEngine,
             8 | 9 => Fault::Stop(rng.usize(..gateways)),
             10 => Fault::StoreForgets,
+            11 => Fault::StoreWay(link_fault(&mut rng)),
+            12..=14 => Fault::EngineWay(rng.usize(..1_000), link_fault(&mut rng)),
+            15 => Fault::LostConnections(rng.usize(..1_000)),
             _ => Fault::Store(store_fault(&mut rng)),
         };
         planned.push(Planned { after, fault });
@@ -83,9 +94,33 @@
     all[rng.usize(..all.len())]
 }
 
+fn link_fault(rng: &mut fastrand::Rng) -> LinkFault {
+    let all = [
+        LinkFault::Cut,
+        LinkFault::Delay(Duration::from_millis(rng.u64(5..200))),
+        LinkFault::None,
+        LinkFault::OneWay,
+        LinkFault::Silent,
+    ];
+    all[rng.usize(..all.len())]
+}
+
 /// Longest time in which a gateway that was asked to stop must have ended: its grace and a margin.
 const STOP_LIMIT: Duration = Duration::from_secs(12);
 
+/// Returns the way to an engine that is drawn by a number.
+fn engine_way(world: &World, n: usize) -> Option<&TcpProxy> {
+    let engines = &world.fleet.engines;
+    let engine = engines.get(n % engines.len().max(1))?;
+    world.fleet.engine_ways.get(&engine.spec.id)
+}
+
+/// Lets all bytes through again.
+pub(crate) fn clear_ways(world: &World) {
+    let ways = world.fleet.engine_ways.values().chain(&world.fleet.store_way);
+    ways.for_each(|way| way.set_fault(LinkFault::None));
+}
+
 /// Length of a freeze.
 const FREEZE: Duration = Duration::from_millis(1_200);
 
@@ -140,6 +175,16 @@
             }
         }
         Fault::Store(fault) => world.fleet.store.set_fault(fault),
+        Fault::StoreWay(fault) => {
+            world.fleet.store_way.iter().for_each(|way| way.set_fault(fault));
+        }
+        Fault::EngineWay(n, fault) => {
+            engine_way(world, n).into_iter().for_each(|way| way.set_fault(fault));
+        }
+        Fault::LostConnections(n) => {
+            let ways = engine_way(world, n).into_iter().chain(&world.fleet.store_way);
+            ways.for_each(TcpProxy::silence_connections);
+        }
         Fault::StoreForgets => {
             world.fleet.store.forget("keyed.op");
             world.fleet.store.forget("keyed.servers");
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -8,7 +8,7 @@
 use redwingfold_standins::platform::{Conn, Engine, Got, StoreFault, message};
 
 use crate::checks::{Seen, violations};
-use crate::faults::{bring_about, schedule};
+use crate::faults::{bring_about, clear_ways, schedule};
 use crate::world::World;
 
 /// What to play.
@@ -89,6 +89,7 @@
     });
     world.fleet.store.set_fault(StoreFault::None);
     world.mishaps.any.store(0, Ordering::SeqCst);
+    clear_ways(&world);
     outcome.broken.extend(recovers(&world));
     let mut seen = seen.into_inner().expect("no caller panics");
     let arrivals: Vec<_> = world.fleet.engines.iter().flat_map(Engine::arrivals).collect();
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -81,7 +81,7 @@
 impl World {
     /// Starts gateways and engines.
     pub(crate) fn start(program: &Path, gateways: usize, engines: usize) -> Self {
-        let fleet = PlatformFleet::new(&program.display().to_string());
+        let fleet = PlatformFleet::new(&program.display().to_string()).with_ways();
         let mut config = Config::default();
         for (route, timeout) in [(0, 3_000), (1, 3_000), (2, 8_000), (3, 8_000)] {
             let more = config.routes[route].more.as_object_mut();
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -22,6 +22,6 @@
 pub use log_service::{LogFaults, LogService};
 pub use rating::Rating;
 pub use service::Service;
-pub use tcp_proxy::TcpProxy;
+pub use tcp_proxy::{LinkFault, TcpProxy};
 pub use udp_proxy::UdpProxy;
 pub use weight_store::WeightStore;
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -1,5 +1,6 @@
 //! Gateways as processes, before a store and engines that run here.
 
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -11,6 +12,7 @@
 use super::engine::{Arrival, Engine, EngineSpec, Plan};
 use super::store::Store;
 use crate::fleet::Process;
+use crate::tcp_proxy::TcpProxy;
 
 /// Longest wait for anything in a test.
 const LIMIT: Duration = Duration::from_secs(20);
@@ -121,6 +123,10 @@
     pub engines: Vec<Engine>,
     /// The gateways.
     pub gateways: Vec<Gateway>,
+    /// Ways to the engines, by id, if the fleet has any.
+    pub engine_ways: HashMap<String, TcpProxy>,
+    /// The way to the store, if the fleet has any.
+    pub store_way: Option<TcpProxy>,
     program: PathBuf,
     folder: PathBuf,
     /// Bounds that differ from the defaults.
@@ -142,12 +148,25 @@
             store: Store::start(),
             engines: Vec::new(),
             gateways: Vec::new(),
+            engine_ways: HashMap::new(),
+            store_way: None,
             program: Path::new(program).to_owned(),
             folder,
             bounds: json!({}),
         }
     }
 
+    /// Lays ways to the store and to each engine that is added from now on, which can be disturbed.
+    ///
+    /// # Panics
+    ///
+    /// If no port can be opened.
+    #[must_use]
+    pub fn with_ways(mut self) -> Self {
+        self.store_way = Some(TcpProxy::start(self.store.addr).expect("a way to the store"));
+        self
+    }
+
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) {
         self.store.put("keyed.op", "config", Some(&config.json()));
@@ -181,7 +200,12 @@
             version: version.to_owned(),
             models,
         };
-        let engine = Engine::start(spec, plan);
+        let mut engine = Engine::start(spec, plan);
+        if self.store_way.is_some() {
+            let way = TcpProxy::start(engine.addr).expect("a way to the engine");
+            engine.addr = way.addr;
+            self.engine_ways.insert(id.to_owned(), way);
+        }
         self.register(&engine, "ready");
         self.engines.push(engine.clone());
         engine
@@ -231,6 +255,7 @@
     }
 
     fn boot(&self, n: usize) -> String {
+        let store = self.store_way.as_ref().map_or(self.store.addr, |way| way.addr);
         let bounds = json!({"grace_s": 4.0, "retry_budget_ratio": 0.9, "budget_window_s": 10,
             "session_s": 5});
         json!({
@@ -239,7 +264,7 @@
             "port_range": [0, 0],
             "limits": {"memory_mb": 200, "max_fds": 2000},
             "bounds": merged(bounds, &self.bounds),
-            "platform": {"address": self.store.addr.to_string()},
+            "platform": {"address": store.to_string()},
         })
         .to_string()
     }
--- a/standins/src/tcp_proxy.rs
+++ b/standins/src/tcp_proxy.rs
@@ -1,25 +1,70 @@
-//! A way to a service that can be cut for one of its users.
+//! A way to a service that can be disturbed for one of its users.
 
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
-use futures_lite::{FutureExt, io};
 use smol::Timer;
+use smol::future::FutureExt;
+use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::TcpStream;
 
 const POLL: Duration = Duration::from_millis(5);
 
+/// Bytes that are passed on at a time.
+const BUFFER: usize = 16 * 1024;
+
+/// How a way is disturbed.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum LinkFault {
+    /// Not at all.
+    #[default]
+    None,
+    /// Open connections are reset, and new ones closed at once.
+    Cut,
+    /// Bytes take so much longer, each way.
+    Delay(Duration),
+    /// What the service sends is lost; what is sent to it arrives.
+    OneWay,
+    /// Nothing arrives either way, and connections stay open.
+    Silent,
+}
+
 /// Passes connections on to one address.
 #[derive(Debug)]
 pub struct TcpProxy {
     /// Where it listens.
     pub addr: SocketAddr,
-    cut: Arc<AtomicBool>,
+    link: Arc<Link>,
     _task: smol::Task<()>,
 }
 
+#[derive(Debug, Default)]
+struct Link {
+    fault: Mutex<LinkFault>,
+    /// Connections made before the newest of these stay silent for good.
+    generation: AtomicU64,
+}
+
+impl Link {
+    /// Returns what happens to a connection that was made in a generation.
+    fn fault(&self, made: u64) -> LinkFault {
+        match *self.fault.lock().unwrap_or_else(PoisonError::into_inner) {
+            LinkFault::Cut => LinkFault::Cut,
+            _ if made < self.generation.load(Ordering::SeqCst) => LinkFault::Silent,
+            fault => fault,
+        }
+    }
+}
+
+/// Which way bytes go.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Way {
+    Back,
+    There,
+}
+
 impl TcpProxy {
     /// Starts it before an address.
     ///
@@ -30,38 +75,64 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let addr = listener.local_addr()?;
         let listener = smol::net::TcpListener::try_from(listener)?;
-        let cut = Arc::new(AtomicBool::new(false));
-        let inner = cut.clone();
+        let link = Arc::new(Link::default());
+        let inner = link.clone();
         let task = smol::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                if !inner.load(Ordering::SeqCst) {
+                if inner.fault(u64::MAX) != LinkFault::Cut {
                     smol::spawn(pass(stream, to, inner.clone())).detach();
                 }
             }
         });
-        Ok(Self { addr, cut, _task: task })
+        Ok(Self { addr, link, _task: task })
+    }
+
+    /// Disturbs the way from now on, or no longer.
+    pub fn set_fault(&self, fault: LinkFault) {
+        *self.link.fault.lock().unwrap_or_else(PoisonError::into_inner) = fault;
     }
 
     /// Breaks all connections and refuses new ones, or lets them through again.
     pub fn set_cut(&self, cut: bool) {
-        self.cut.store(cut, Ordering::SeqCst);
+        self.set_fault(if cut { LinkFault::Cut } else { LinkFault::None });
+    }
+
+    /// Loses track of the connections that exist now: they stay open and say nothing more, for good. New
+    /// ones work.
+    pub fn silence_connections(&self) {
+        self.link.generation.fetch_add(1, Ordering::SeqCst);
     }
 }
 
-async fn pass(near: TcpStream, to: SocketAddr, cut: Arc<AtomicBool>) {
+async fn pass(near: TcpStream, to: SocketAddr, link: Arc<Link>) {
+    let made = link.generation.load(Ordering::SeqCst);
     let Ok(far) = TcpStream::connect(to).await else { return };
     near.set_nodelay(true).ok();
     far.set_nodelay(true).ok();
-    let copy = |from: &TcpStream, to: &TcpStream| {
-        let (from, to) = (from.clone(), to.clone());
-        async move {
-            io::copy(from, to).await.ok();
-        }
-    };
+    let there = pump(near.clone(), far.clone(), &link, made, Way::There);
+    let back = pump(far.clone(), near.clone(), &link, made, Way::Back);
     let is_cut = async {
-        while !cut.load(Ordering::SeqCst) {
+        while link.fault(made) != LinkFault::Cut {
             Timer::after(POLL).await;
         }
     };
-    copy(&near, &far).or(copy(&far, &near)).or(is_cut).await;
+    there.or(back).or(is_cut).await;
+}
+
+/// Passes bytes on until one end closes.
+async fn pump(mut from: TcpStream, mut to: TcpStream, link: &Link, made: u64, way: Way) {
+    let mut buf = vec![0; BUFFER];
+    while let Ok(len @ 1..) = from.read(&mut buf).await {
+        match link.fault(made) {
+            LinkFault::Delay(span) => {
+                Timer::after(span).await;
+            }
+            LinkFault::OneWay if way == Way::Back => continue,
+            LinkFault::Silent => continue,
+            LinkFault::None | LinkFault::Cut | LinkFault::OneWay => {}
+        }
+        if to.write_all(&buf[..len]).await.is_err() {
+            return;
+        }
+    }
 }
