--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -55,6 +55,6 @@
     PeerLoads, Phase, Place, PlacementPolicy, Pressure, Priority, ReadRates, Registry,
     RegistryPolicy, Repeat, RepeatBudget, RepeatUse, RolloutOrder, Route, RouteEvidence, RouteName,
     ServerHealth, ServerReport, ServerState, Service, ServiceName, Shared, SizePolicy, StatusBook,
-    StreamRules, Times, WholeEvents, Work, place,
+    StreamRules, Times, UrgencyPolicy, WholeEvents, Work, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -11,6 +11,7 @@
 mod registry;
 mod sizes;
 mod status;
+mod urgency;
 
 pub use budget::{RepeatBudget, RepeatUse};
 pub use canary::{
@@ -28,3 +29,4 @@
 pub use registry::{BackendServer, Registry, RegistryPolicy, ServerState};
 pub use sizes::{Pressure, SizePolicy};
 pub use status::StatusBook;
+pub use urgency::UrgencyPolicy;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -116,8 +116,7 @@
 
     pub(crate) fn urgency(&self, is_resumed: bool) -> Priority {
         let own = self.customer.as_ref().and_then(|c| c.priority).unwrap_or(self.route.priority);
-        // A stream that a caller already reads goes before all that have not begun.
-        if is_resumed { Priority(0) } else { Priority(own.0.saturating_add(1).min(9)) }
+        self.gw.settings.urgency.rank(self.own_tokens(), own, is_resumed)
     }
 
     pub(crate) fn count_current(&self, server: &BackendServer) -> Option<OnCurrent> {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SizePolicy,
+    CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -37,6 +37,8 @@
     pub placement: PlacementPolicy,
     /// When larger models are asked.
     pub sizes: SizePolicy,
+    /// How requests are ranked at servers.
+    pub urgency: UrgencyPolicy,
     /// How often the store's feeds are read.
     pub feeds: FeedPeriods,
 }
@@ -68,6 +70,7 @@
             health: HealthPolicy::default(),
             placement: PlacementPolicy::default(),
             sizes: SizePolicy::default(),
+            urgency: UrgencyPolicy::default(),
             feeds: FeedPeriods::default(),
         }
     }
