fix(gateway): split what is told of a roll-out into datagrams that fit

Cause: one message held the evidence of all routes of a service. From some 25 routes on it was longer than a datagram may be and was dropped whole: nobody heard of the others' answers, nor at once of a roll-back, and each of 28 gateways judged a version by its own part of the traffic. Found by reading the change.

Change: parts of 20 routes, in an order drawn anew, put together again by whoever hears them.

--- a/core/tests/feeds.rs
+++ b/core/tests/feeds.rs
@@ -70,17 +70,17 @@
                 }
             }
         }
-        for g in 0..n {
-            if gateways[g].asleep_until > ms || !gateways[g].view.is_due(Millis(ms)) {
+        for (g, gateway) in gateways.iter_mut().enumerate() {
+            if gateway.asleep_until > ms || !gateway.view.is_due(Millis(ms)) {
                 continue;
             }
-            let from = gateways[g].view.next().unwrap_or(end_at(ms));
-            gateways[g].view.read(Millis(ms), end_at(ms), rng.u64(..));
-            gateways[g].true_as_of = ms;
+            let from = gateway.view.next().unwrap_or(end_at(ms));
+            gateway.view.read(Millis(ms), end_at(ms), rng.u64(..));
+            gateway.true_as_of = ms;
             // The first read of all is each gateway's own: nobody can tell it what it has never seen.
             played.reads += u64::from(ms > 0);
-            gateways[g].past.add(from, end_at(ms), Vec::new());
-            let from = gateways[g].past.told().map_or(from, |(from, _)| from);
+            gateway.past.add(from, end_at(ms), Vec::new());
+            let from = gateway.past.told().map_or(from, |(from, _)| from);
             on_the_way.push_back((ms, g, FeedTold { from, next: end_at(ms), age: Millis(0) }));
         }
         for gateway in &gateways {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -15,7 +15,7 @@
 use crate::clock::{sleep, within};
 use crate::feeds::ServerChange;
 use crate::gateway::Gateway;
-use crate::peer_message::PeerMessage;
+use crate::peer_message::{PeerMessage, RolloutWire};
 use crate::rollouts::RolloutNews;
 
 /// Time between messages while there is something to tell: a long prompt takes a second to read, and
@@ -44,6 +44,9 @@
 /// Silence after which a peer gets no more messages.
 const GONE: Millis = Millis(20_000);
 
+/// Routes in a message on a roll-out: each takes up to 55 bytes, and names the rest.
+const MAX_ROUTES: usize = 20;
+
 /// Largest datagram that passes common links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -89,8 +92,8 @@
 /// Tells the peers for ever.
 ///
 /// What a read of the store brought goes out at once, to all: each moment later, one more gateway
-/// reads the same. So does the end of a roll-out. What of the rest does not fit the bytes of a second goes to some of the peers, drawn
-/// anew each turn.
+/// reads the same. So does the end of a roll-out. What of the rest does not fit the bytes of a second
+/// goes to some of the peers, drawn anew each turn.
 pub async fn tell_peers(gw: Rc<Gateway>, socket: UdpSocket, peers: Peers) {
     let budget = ByteBudget::with_depth(BYTES_PER_SECOND, BYTES_SAVED, gw.now());
     let mut teller = Teller { gw: gw.clone(), socket, peers, budget, told_at: Millis(0), turn: 0 };
@@ -120,9 +123,9 @@
     /// Tells all peers what was read, and how a roll-out ended.
     async fn tell_news(&mut self) {
         let is_urgent = self.gw.with_rollouts(|r| r.take_urgent());
-        let rollouts = if is_urgent { rollout_message(&self.gw) } else { PeerMessage::default() };
-        let messages = [feed_message(&self.gw), rollouts];
-        for message in messages.into_iter().filter(|message| !message.is_empty()) {
+        let rollouts = if is_urgent { rollout_messages(&self.gw) } else { Vec::new() };
+        let messages = std::iter::once(feed_message(&self.gw)).chain(rollouts);
+        for message in messages.filter(|message| !message.is_empty()) {
             let present = self.present();
             self.tell(message, &present, 0).await;
         }
@@ -135,10 +138,11 @@
         self.gw.with_feeds(|feeds| feeds.share_with(fleet));
         self.gw.with_rollouts(|rollouts| rollouts.share_with(fleet));
         self.turn = self.turn.wrapping_add(1);
-        let rollouts = rollout_message(&self.gw);
-        if self.turn.is_multiple_of(ROLLOUT_TURNS) && !rollouts.is_empty() {
+        if self.turn.is_multiple_of(ROLLOUT_TURNS) {
             let part = &present[..present.len().div_ceil(ROLLOUT_PART)];
-            self.tell(rollouts, part, KEPT_FOR_FEEDS).await;
+            for rollouts in rollout_messages(&self.gw) {
+                self.tell(rollouts, part, KEPT_FOR_FEEDS).await;
+            }
         }
         let mut loads = PeerMessage::default();
         loads.add_loads(self.gw.loads.take_news());
@@ -183,9 +187,18 @@
     })
 }
 
-fn rollout_message(gw: &Gateway) -> PeerMessage {
+/// Makes the messages on roll-outs, each with as many routes as a datagram takes.
+///
+/// A configuration may have hundreds of routes. In one message their evidence would not fit, nobody would
+/// hear of it, and each gateway would judge a version by its own part of the answers.
+fn rollout_messages(gw: &Gateway) -> Vec<PeerMessage> {
     let news = gw.with_rollouts(|r| r.news(gw.now()));
-    PeerMessage { rollouts: news.iter().map(Into::into).collect(), ..PeerMessage::default() }
+    let mut parts: Vec<_> = news.into_iter().flat_map(|news| news.parts(MAX_ROUTES)).collect();
+    // Where the bytes do not suffice, it is not always the same routes that are left out.
+    fastrand::shuffle(&mut parts);
+    let message =
+        |part| PeerMessage { rollouts: vec![RolloutWire::from(part)], ..PeerMessage::default() };
+    parts.iter().map(message).collect()
 }
 
 /// Writes a message; what makes it too long for a datagram is left out, the least needed first.
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -47,6 +47,25 @@
     pub recorded: Recorded,
 }
 
+impl RolloutNews {
+    /// Splits it into parts with at most `max` routes each.
+    pub(crate) fn parts(self, max: usize) -> Vec<Self> {
+        let routes: Vec<_> = self.routes.iter().map(|(route, e)| (*route, *e)).collect();
+        let part = |routes: &[(u32, RouteEvidence)]| Self {
+            routes: routes.iter().copied().collect(),
+            ..self.clone()
+        };
+        if routes.is_empty() { vec![part(&[])] } else { routes.chunks(max).map(part).collect() }
+    }
+
+    /// Takes a later part of the same gateway's news.
+    fn take(&mut self, mut later: Self) {
+        let mut routes = std::mem::take(&mut self.routes);
+        routes.extend(std::mem::take(&mut later.routes));
+        *self = Self { routes, ..later };
+    }
+}
+
 /// What the store says of a roll-out.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum Recorded {
@@ -409,7 +428,15 @@
         let is_new = news.is_rolled_back && canary.phase() < Phase::Done;
         let (service, target, recorded) =
             (news.service.clone(), news.target.clone(), news.recorded);
-        versions.others.insert(from.to_owned(), (news, now));
+        match versions.others.get_mut(from) {
+            Some((known, at)) => {
+                known.take(news);
+                *at = now;
+            }
+            None => {
+                versions.others.insert(from.to_owned(), (news, now));
+            }
+        }
         if is_new {
             self.end(&service, Phase::RolledBack, now);
         }
