test(standins): read all that a process has printed before its end counts

Cause: stops_during_an_outage_lose_no_bill was red once in three whole runs beside load: it looks for a line of a process whose end it has waited for, and the end was known before the reader had the last lines.

Change: whoever waits for the end waits for the readers, too.

--- a/standins/src/fleet/process.rs
+++ b/standins/src/fleet/process.rs
@@ -5,6 +5,7 @@
 use std::path::Path;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::{Arc, Mutex, PoisonError};
+use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
 use rustix::process::{Pid, Signal, kill_process};
@@ -19,6 +20,8 @@
     pub name: String,
     child: Mutex<Child>,
     lines: Arc<Mutex<VecDeque<String>>>,
+    /// What reads its output, until that ends.
+    readers: Mutex<Vec<JoinHandle<()>>>,
 }
 
 impl Process {
@@ -35,13 +38,19 @@
             .stderr(Stdio::piped())
             .spawn()?;
         let lines = Arc::new(Mutex::new(VecDeque::new()));
-        if let Some(out) = child.stdout.take() {
-            collect(out, lines.clone());
-        }
-        if let Some(err) = child.stderr.take() {
-            collect(err, lines.clone());
-        }
-        Ok(Self { name: name.to_owned(), child: Mutex::new(child), lines })
+        let out = child.stdout.take().map(|out| collect(out, lines.clone()));
+        let err = child.stderr.take().map(|err| collect(err, lines.clone()));
+        let readers = Mutex::new(out.into_iter().chain(err).collect());
+        Ok(Self { name: name.to_owned(), child: Mutex::new(child), lines, readers })
+    }
+
+    /// Waits until all that an ended process has printed is read: beside load its last lines are still on
+    /// their way when its end is known, and a test that looks for them would miss them.
+    fn read_rest(&self) {
+        let mut readers = self.readers.lock().unwrap_or_else(PoisonError::into_inner);
+        readers.drain(..).for_each(|reader| {
+            reader.join().ok();
+        });
     }
 
     fn child(&self) -> std::sync::MutexGuard<'_, Child> {
@@ -72,6 +81,9 @@
         let begun = Instant::now();
         loop {
             let ended = self.has_ended();
+            if ended {
+                self.read_rest();
+            }
             if let Some(line) = self.lines().into_iter().find(|line| line.contains(text)) {
                 return Ok(line);
             }
@@ -120,7 +132,10 @@
     pub fn wait(&self, limit: Duration) -> Option<ExitStatus> {
         let begun = Instant::now();
         while begun.elapsed() < limit {
-            if let Ok(Some(status)) = self.child().try_wait() {
+            // Taken on its own, so that nothing holds the child while its output is read.
+            let status = self.child().try_wait();
+            if let Ok(Some(status)) = status {
+                self.read_rest();
                 return Some(status);
             }
             std::thread::sleep(POLL);
@@ -136,7 +151,10 @@
     }
 }
 
-fn collect(from: impl Read + Send + 'static, lines: Arc<Mutex<VecDeque<String>>>) {
+fn collect(
+    from: impl Read + Send + 'static,
+    lines: Arc<Mutex<VecDeque<String>>>,
+) -> JoinHandle<()> {
     std::thread::spawn(move || {
         for line in BufReader::new(from).lines().map_while(Result::ok) {
             let mut lines = lines.lock().unwrap_or_else(PoisonError::into_inner);
@@ -145,5 +163,5 @@
                 lines.pop_front();
             }
         }
-    });
+    })
 }
