--- a/core/src/serving/load.rs
+++ b/core/src/serving/load.rs
@@ -113,6 +113,19 @@
         self.0.get(&server).copied().unwrap_or_default()
     }
 
+    /// Forgets a server that has started again: it holds none of what was sent before.
+    ///
+    /// ```
+    /// use redwingfold_core::{Millis, PeerLoads};
+    /// let mut peers = PeerLoads::default();
+    /// peers.sent(7, Millis(300), Millis(0));
+    /// peers.forget(7);
+    /// assert_eq!(peers.backlog(7, Millis(0)), Millis(0));
+    /// ```
+    pub fn forget(&mut self, server: u32) {
+        self.0.remove(&server);
+    }
+
     fn make_room(&mut self) {
         if self.0.len() >= MAX_SERVERS {
             let newest = self.0.values().map(|load| load.as_of).max().unwrap_or_default();
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -26,7 +26,7 @@
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
 pub use placement::{Place, PlacementPolicy, Work, place};
-pub use registry::{BackendServer, Registry, RegistryPolicy, ServerState};
+pub use registry::{BackendServer, PutOutcome, Registry, RegistryPolicy, ServerState};
 pub use sizes::{Pressure, SizePolicy};
 pub use status::StatusBook;
 pub use urgency::UrgencyPolicy;
--- a/core/src/serving/registry.rs
+++ b/core/src/serving/registry.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use super::catalog::{BackendId, ServiceName};
-use crate::ids::{FailureDomain, Millis, ModelName, VersionName};
+use crate::ids::{FailureDomain, Incarnation, Millis, ModelName, VersionName};
 
 /// Whether a backend server takes new work.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +34,30 @@
     pub state: ServerState,
     /// Models that it has loaded; empty if it is no model engine.
     pub models: Vec<ModelName>,
+    /// Its start, if the platform tells: a server may start again under its id.
+    pub born: Option<Incarnation>,
+}
+
+impl BackendServer {
+    /// Says whether this record is of a later start than another one.
+    ///
+    /// A server that starts again holds and knows nothing of before. Were the two taken for one, its
+    /// callers would be sent there by the load and the failures of a process that is gone, and a server
+    /// that once drained would never be used again.
+    pub fn is_restart_of(&self, earlier: &Self) -> bool {
+        matches!((self.born, earlier.born), (Some(now), Some(then)) if now > then)
+    }
+}
+
+/// What a record changed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum PutOutcome {
+    /// Nothing: it is of an earlier start than the one that is known, and came late.
+    Late,
+    /// The server was not known, or has changed.
+    Taken,
+    /// The server has started again: what was believed of it is void.
+    Restarted,
 }
 
 /// How removals are taken while the store is in trouble.
@@ -77,21 +101,22 @@
         self.trusted_from = now.after(self.policy.return_grace);
     }
 
-    /// Takes a server's record. A server that was seen draining stays so.
-    pub fn put(&mut self, server: BackendServer) {
-        match self.servers.get_mut(&server.id) {
-            Some(entry) => {
-                let was_draining = entry.server.state == ServerState::Draining;
-                entry.server = server;
-                entry.gone_at = None;
-                if was_draining {
-                    entry.server.state = ServerState::Draining;
-                }
-            }
-            None => {
-                self.servers.insert(server.id.clone(), Entry { server, gone_at: None });
-            }
-        }
+    /// Takes a server's record. A server that was seen draining stays so until it starts again.
+    pub fn put(&mut self, server: BackendServer) -> PutOutcome {
+        let known = self.servers.get(&server.id).map(|entry| &entry.server);
+        let outcome = match known {
+            Some(known) if known.is_restart_of(&server) => return PutOutcome::Late,
+            Some(known) if server.is_restart_of(known) => PutOutcome::Restarted,
+            _ => PutOutcome::Taken,
+        };
+        let was_draining = known.is_some_and(|known| known.state == ServerState::Draining);
+        let state = match outcome {
+            PutOutcome::Taken if was_draining => ServerState::Draining,
+            _ => server.state,
+        };
+        let server = BackendServer { state, ..server };
+        self.servers.insert(server.id.clone(), Entry { server, gone_at: None });
+        outcome
     }
 
     /// Takes the removal of a server's record.
@@ -108,7 +133,8 @@
         }
     }
 
-    /// Takes a whole list: servers that are not on it are removed.
+    /// Takes a whole list: servers that are not on it are removed. Returns those that have started
+    /// again.
     ///
     /// ```
     /// use redwingfold_core::{Millis, Registry};
@@ -116,15 +142,20 @@
     /// registry.replace(Vec::new(), Millis(0));
     /// assert_eq!(registry.servers(Millis(0)).count(), 0);
     /// ```
-    pub fn replace(&mut self, servers: Vec<BackendServer>, now: Millis) {
+    pub fn replace(&mut self, servers: Vec<BackendServer>, now: Millis) -> Vec<BackendId> {
         let missing = |id: &&BackendId| !servers.iter().any(|server| server.id == **id);
         let gone: Vec<_> = self.servers.keys().filter(missing).cloned().collect();
         for id in gone {
             self.remove(&id, now);
         }
+        let mut restarted = Vec::new();
         for server in servers {
-            self.put(server);
+            let id = server.id.clone();
+            if self.put(server) == PutOutcome::Restarted {
+                restarted.push(id);
+            }
         }
+        restarted
     }
 
     /// Forgets the servers whose grace has ended, and returns them.
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -4,9 +4,9 @@
 
 use redwingfold_core::{
     BackendId, BackendServer, CallLimits, Catalog, Customer, EventId, EventSplitter, Fault,
-    HealthPolicy, Millis, PeerLoads, Place, PlacementPolicy, Pressure, Priority, Registry,
-    RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Route, ServerHealth, ServerState, ServiceName,
-    SizePolicy, Work, place,
+    HealthPolicy, Incarnation, Millis, PeerLoads, Place, PlacementPolicy, Pressure, Priority,
+    PutOutcome, Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Route, ServerHealth,
+    ServerState, ServiceName, SizePolicy, Work, place,
 };
 
 fn server(id: &str, state: ServerState) -> BackendServer {
@@ -19,6 +19,7 @@
         slots: 64,
         state,
         models: Vec::new(),
+        born: None,
     }
 }
 
@@ -341,3 +342,22 @@
         assert_eq!(peers.backlog(1, Millis(now)), Millis(truth));
     }
 }
+
+/// A server ends while it drains and starts again under its id. Placement would pass it over for good,
+/// since a server that drains stays so; a later start is another server. A heartbeat of the start before
+/// that was written late must not bring that one back.
+#[test]
+fn later_start_ends_what_was_believed() {
+    let start = |born, state| BackendServer { born: Some(Incarnation(born)), ..server("a", state) };
+    let state = |registry: &Registry| registry.servers(Millis(0)).next().map(|s| s.state);
+    let mut registry = Registry::default();
+    assert_eq!(registry.put(start(1, ServerState::Ready)), PutOutcome::Taken);
+    assert_eq!(registry.put(start(1, ServerState::Draining)), PutOutcome::Taken);
+    assert_eq!(registry.put(start(1, ServerState::Ready)), PutOutcome::Taken);
+    assert_eq!(state(&registry), Some(ServerState::Draining));
+    assert_eq!(registry.put(start(2, ServerState::Ready)), PutOutcome::Restarted);
+    assert_eq!(registry.put(start(1, ServerState::Draining)), PutOutcome::Late);
+    assert_eq!(state(&registry), Some(ServerState::Ready));
+    let list = vec![start(3, ServerState::Ready), server("b", ServerState::Ready)];
+    assert_eq!(registry.replace(list, Millis(0)), vec![BackendId::from("a")]);
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -105,7 +105,7 @@
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
         let on_current = self.count_current(server);
-        let under_way = gw.loads.send(&server.id, self.reading_time(self.size.unwrap_or(0)));
+        let under_way = gw.loads.send(server, self.reading_time(self.size.unwrap_or(0)));
         self.run = redwingfold_core::RunState::MayHaveRun;
         self.sends += 1;
         let answered = self.wait_for_head(caller.send(req), server, sent_at).await;
@@ -118,9 +118,9 @@
         };
         let now = gw.now();
         let facts = (gw.dialect.read_answer)(head.status, &head.headers);
-        gw.loads.heard(&server.id, now);
+        gw.loads.heard(server, now);
         if let Some(load) = facts.load {
-            gw.loads.reported(&server.id, load, now);
+            gw.loads.reported(server, load, now);
         }
         if let Some(attempted) = self.refusal(&head, &facts) {
             return attempted;
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -7,8 +7,8 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, Millis, Pressure, ReadRates, Registry, RegistryPolicy,
-    RepeatBudget, RepeatUse, ServiceName,
+    BackendId, BackendServer, Catalog, Millis, Pressure, PutOutcome, ReadRates, Registry,
+    RegistryPolicy, RepeatBudget, RepeatUse, ServiceName,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -152,7 +152,16 @@
                 ],
             );
         }
-        self.registry.borrow_mut().put(server);
+        let id = server.id.clone();
+        if self.registry.borrow_mut().put(server) == PutOutcome::Restarted {
+            self.started_again(&id);
+        }
+    }
+
+    /// Forgets what is believed of a server's earlier start.
+    fn started_again(&self, id: &BackendId) {
+        self.loads.forget(id);
+        self.telemetry.info("server_restarted", &[("server", id)]);
     }
 
     /// Takes the removal of a backend server's record.
@@ -189,7 +198,8 @@
             self.rollouts.borrow_mut().saw(&server.service, &server.version, is_first, now);
         }
         self.telemetry.info("servers_listed", &[("servers", &servers.len())]);
-        self.registry.borrow_mut().replace(servers, now);
+        let restarted = self.registry.borrow_mut().replace(servers, now);
+        restarted.iter().for_each(|id| self.started_again(id));
         self.is_registry_known.set(true);
         self.moved.notify(usize::MAX);
     }
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -5,8 +5,8 @@
 use std::rc::Rc;
 
 use redwingfold_core::{
-    BackendId, BackendServer, FailureDomain, Fault, HealthPolicy, Millis, PeerLoads, Place,
-    ServerHealth, ServerReport,
+    BackendId, BackendServer, FailureDomain, Fault, HealthPolicy, Incarnation, Millis, PeerLoads,
+    Place, ServerHealth, ServerReport,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -25,6 +25,8 @@
     unread: Millis,
     heard_at: Millis,
     health: ServerHealth,
+    /// The start of the server to which all of this belongs.
+    born: Option<Incarnation>,
 }
 
 /// The table of all servers.
@@ -58,16 +60,42 @@
 #[derive(Debug)]
 pub(crate) struct UnderWay {
     table: LoadTable,
-    id: BackendId,
+    server: ServerStart,
     unread: Millis,
 }
 
+/// One start of a server.
+#[derive(Clone, Debug)]
+struct ServerStart {
+    id: BackendId,
+    born: Option<Incarnation>,
+}
+
+impl From<&BackendServer> for ServerStart {
+    fn from(server: &BackendServer) -> Self {
+        Self { id: server.id.clone(), born: server.born }
+    }
+}
+
 /// Returns the name by which gateways tell each other of a server. Two servers in a fleet of
 /// thousands may share one; each then looks as loaded as both.
 pub(crate) fn short_id(id: &BackendId) -> u32 {
     xxh3_64(id.as_str().as_bytes()) as u32
 }
 
+impl Tables {
+    /// Returns what is known of a start of a server, with room for a new one; `None` if a later start is
+    /// known already.
+    fn known(&mut self, server: &BackendServer) -> Option<&mut Known> {
+        let born = server.born;
+        let known = self.own.entry(server.id.clone()).or_default();
+        if known.born < born {
+            *known = Known { born, ..Known::default() };
+        }
+        (known.born == born).then_some(known)
+    }
+}
+
 impl LoadTable {
     /// Describes a server for placement.
     pub(crate) fn place(
@@ -100,28 +128,29 @@
     }
 
     /// Counts a request that is sent to a server, with the time that its prompt will take.
-    pub(crate) fn send(&self, id: &BackendId, unread: Millis) -> UnderWay {
+    pub(crate) fn send(&self, server: &BackendServer, unread: Millis) -> UnderWay {
         let mut tables = self.0.borrow_mut();
         if unread >= MIN_TOLD && tables.untold.sent.len() < MAX_UNTOLD {
-            tables.untold.sent.push((short_id(id), unread));
+            tables.untold.sent.push((short_id(&server.id), unread));
         }
-        let known = tables.own.entry(id.clone()).or_default();
-        known.under_way += 1;
-        known.sent_since += 1;
-        known.unread = known.unread.after(unread);
-        UnderWay { table: self.clone(), id: id.clone(), unread }
+        if let Some(known) = tables.known(server) {
+            known.under_way += 1;
+            known.sent_since += 1;
+            known.unread = known.unread.after(unread);
+        }
+        UnderWay { table: self.clone(), server: server.into(), unread }
     }
 
     /// Takes a report of load.
-    pub(crate) fn reported(&self, id: &BackendId, load: ReportedLoad, now: Millis) {
-        self.change(id, |known| {
+    pub(crate) fn reported(&self, server: &BackendServer, load: ReportedLoad, now: Millis) {
+        self.change(&server.into(), |known| {
             known.reported = load;
             known.reported_at = now;
             known.sent_since = 0;
             known.ended_since = 0;
         });
         let report = ServerReport { running: load.running, waiting: load.waiting };
-        self.0.borrow_mut().untold.reports.insert(short_id(id), report);
+        self.0.borrow_mut().untold.reports.insert(short_id(&server.id), report);
     }
 
     /// Takes what a peer has told.
@@ -137,8 +166,8 @@
     }
 
     /// Notes that bytes came from a server.
-    pub(crate) fn heard(&self, id: &BackendId, now: Millis) {
-        self.change(id, |known| known.heard_at = now);
+    pub(crate) fn heard(&self, server: &BackendServer, now: Millis) {
+        self.change(&server.into(), |known| known.heard_at = now);
     }
 
     /// Returns when bytes last came from a server.
@@ -147,30 +176,35 @@
     }
 
     /// Counts a good answer.
-    pub(crate) fn good(&self, id: &BackendId) {
-        self.change(id, |known| known.health.good());
+    pub(crate) fn good(&self, server: &BackendServer) {
+        self.change(&server.into(), |known| known.health.good());
     }
 
     /// Counts a failure; `true` if the server is left out from now on.
     pub(crate) fn bad(
         &self,
-        id: &BackendId,
+        server: &BackendServer,
         fault: Fault,
         policy: &HealthPolicy,
         now: Millis,
     ) -> bool {
         let mut tables = self.0.borrow_mut();
-        tables.own.entry(id.clone()).or_default().health.bad(fault, policy, now)
+        tables.known(server).is_some_and(|known| known.health.bad(fault, policy, now))
     }
 
-    /// Forgets a server.
+    /// Forgets a server that is gone, or has started again.
     pub(crate) fn forget(&self, id: &BackendId) {
-        self.0.borrow_mut().own.remove(id);
+        let mut tables = self.0.borrow_mut();
+        tables.own.remove(id);
+        tables.peers.forget(short_id(id));
     }
 
-    fn change(&self, id: &BackendId, change: impl FnOnce(&mut Known)) {
-        if let Some(known) = self.0.borrow_mut().own.get_mut(id) {
-            change(known);
+    /// Changes what is known of a start of a server. What its earlier starts answered, or how they
+    /// ended, says nothing of the present one.
+    fn change(&self, server: &ServerStart, change: impl FnOnce(&mut Known)) {
+        match self.0.borrow_mut().own.get_mut(&server.id) {
+            Some(known) if known.born == server.born => change(known),
+            _ => {}
         }
     }
 }
@@ -179,14 +213,14 @@
     /// Notes that the server has read the prompt.
     pub(crate) fn is_read(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.table.change(&self.id, |known| known.unread = known.unread.since(unread));
+        self.table.change(&self.server, |known| known.unread = known.unread.since(unread));
     }
 }
 
 impl Drop for UnderWay {
     fn drop(&mut self) {
         self.is_read();
-        self.table.change(&self.id, |known| {
+        self.table.change(&self.server, |known| {
             known.under_way = known.under_way.saturating_sub(1);
             known.ended_since += 1;
         });
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{
-    BackendServer, Counts, FeedTold, Millis, ParseIdError, Phase, RouteEvidence, ServerReport,
-    ServerState, Times,
+    BackendServer, Counts, FeedTold, Incarnation, Millis, ParseIdError, Phase, RouteEvidence,
+    ServerReport, ServerState, Times,
 };
 use serde::{Deserialize, Serialize};
 
@@ -45,6 +45,7 @@
     slots: u32,
     is_draining: bool,
     models: Vec<String>,
+    born: Option<u64>,
 }
 
 /// Good, failed; number, sum and sum of squares of times to the first byte, and of pauses.
@@ -115,6 +116,7 @@
             slots: server.slots,
             is_draining: server.state == ServerState::Draining,
             models: server.models.iter().map(ToString::to_string).collect(),
+            born: server.born.map(|born| born.0),
         }
     }
 }
@@ -133,6 +135,7 @@
             slots: message.slots,
             state: if message.is_draining { ServerState::Draining } else { ServerState::Ready },
             models: models?,
+            born: message.born.map(Incarnation),
         })
     }
 }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -120,7 +120,7 @@
                 Step::Next(Next::End) => return Ok(Ended::Complete),
                 Step::Next(Next::Chunk(chunk)) => chunk,
             };
-            self.flight.gw.loads.heard(&begun.server.id, self.flight.gw.now());
+            self.flight.gw.loads.heard(&begun.server, self.flight.gw.now());
             let whole = self.events.push(&chunk);
             if whole.count > 0 {
                 begun.under_way.is_read();
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -199,7 +199,7 @@
             self.failed_at(&begun.server, Fault::Answered);
             return !self.try_again();
         }
-        self.gw.loads.good(&begun.server.id);
+        self.gw.loads.good(&begun.server);
         let (Some(size), true) = (self.size, begun.head.status.is_success()) else { return true };
         if size == 0 {
             self.gw.first_try(begun.first_byte, self.route.aim);
@@ -344,7 +344,7 @@
     fn failed_at(&mut self, server: &BackendServer, fault: Fault) {
         self.avoid.push(server.id.clone());
         let now = self.gw.now();
-        if self.gw.loads.bad(&server.id, fault, &self.gw.settings.health, now) {
+        if self.gw.loads.bad(server, fault, &self.gw.settings.health, now) {
             self.gw.telemetry.warn(
                 "server_left_out",
                 &[("server", &server.id), ("service", &server.service), ("addr", &server.addr)],
