feat(gateway): log events, the longest pause and the resumed event of each request

Cause: a stream that begins in time is late if it pauses, and one that a caller takes up again began long before; the log told neither, so that lateness had no reason in it.

--- a/gateway/src/flight_log.rs
+++ b/gateway/src/flight_log.rs
@@ -43,6 +43,7 @@
         let model = self.size.map_or("", |size| self.route.sizes[size].as_str());
         let confidence = self.confidence.map_or_else(String::new, |c| c.to_string());
         let first = self.first_byte.map_or_else(String::new, |t| t.to_string());
+        let resumed = self.facts.resume_after.map_or_else(String::new, |id| id.to_string());
         gw.telemetry.count("request.count", 1);
         gw.telemetry.time("request.ms", took.0);
         gw.telemetry.info(
@@ -61,6 +62,9 @@
                 ("confidence", &confidence),
                 ("pressure", &format_args!("{:.2}", gw.pressure())),
                 ("first_ms", &first),
+                ("resumed_after", &resumed),
+                ("events", &self.events),
+                ("longest_pause_ms", &self.longest_pause),
                 ("took_ms", &took),
                 ("limit_ms", &self.until.since(self.begun)),
             ],
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -29,7 +29,7 @@
     let gw = flight.gw.clone();
     gw.spawn(async move {
         let events = EventSplitter::after(flight.facts.resume_after);
-        let mut relay = Relay { flight, events, tx, is_paid: false };
+        let mut relay = Relay { flight, events, tx, is_paid: false, event_at: None };
         let outcome = Box::pin(relay.run(begun)).await;
         relay.finish(outcome).await;
     });
@@ -42,6 +42,8 @@
     tx: Sender<io::Result<Bytes>>,
     /// Whether going on at another server is paid for already.
     is_paid: bool,
+    /// When the last event was passed on.
+    event_at: Option<Millis>,
 }
 
 /// How a stream ended.
@@ -123,6 +125,7 @@
             self.flight.gw.loads.heard(&begun.server, self.flight.gw.now());
             let whole = self.events.push(&chunk);
             if whole.count > 0 {
+                self.count_events(whole.count);
                 begun.under_way.is_read();
                 if let Some(pause) = pace.events(whole.count, self.flight.gw.now()) {
                     self.flight.saw(begun, Sight::Pace(pause));
@@ -135,6 +138,15 @@
         }
     }
 
+    /// Counts events for the request's log line: a pause is what makes a stream late that began in time.
+    fn count_events(&mut self, count: usize) {
+        let now = self.flight.gw.now();
+        let pause = self.event_at.map_or(Millis(0), |at| now.since(at));
+        self.event_at = Some(now);
+        self.flight.events += count;
+        self.flight.longest_pause = self.flight.longest_pause.max(pause);
+    }
+
     async fn step(&self, begun: &mut Begun) -> Step {
         let server = begun.server.clone();
         let next = async { Step::Next(begun.next().await) };
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -51,6 +51,9 @@
     pub(crate) server: Option<BackendServer>,
     pub(crate) confidence: Option<u8>,
     pub(crate) first_byte: Option<Millis>,
+    /// Events passed on, and the longest pause before one of them.
+    pub(crate) events: usize,
+    pub(crate) longest_pause: Millis,
 }
 
 /// What is asked of a new flight.
@@ -106,6 +109,8 @@
             server: None,
             confidence: None,
             first_byte: None,
+            events: 0,
+            longest_pause: Millis(0),
         }
     }
 
