feat(core): ask another server when an answer is overdue, by what the server has to read

Ruled out: connections, which were open; the budget of second sends, which had room. Change: the wait for a head is half of the aim, longer with what the server has to read and with the pressure; the wait for an event three quarters of the longest pause in time. A process that stood still does not take its own standstill for silence.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use redwingfold_core::{BackendServer, EventId, Millis, Repeat};
+use redwingfold_core::{BackendServer, EventId, Millis, Owed, Repeat, SilenceWatch};
 
 use crate::clock::within;
 use crate::facts::{AnswerFacts, AttemptFacts};
@@ -17,16 +17,7 @@
 use crate::upstream::{CallError, Caller, chain};
 
 /// Pause between looks at whether a server that is waited for is silent.
-const SILENCE_POLL: Millis = Millis(250);
-
-/// Shortest wait for the first byte of a plain answer before silence counts.
-const MIN_SILENCE: Millis = Millis(500);
-
-/// Shortest such wait for a model engine, which may read a long prompt of another request first.
-const MIN_ENGINE_SILENCE: Millis = Millis(2_000);
-
-/// Pauses between events after which one stream's silence counts, though others go on.
-const LOST_PAUSES: u64 = 4;
+pub(crate) const SILENCE_POLL: Millis = Millis(200);
 
 /// How an attempt went.
 pub(crate) enum Attempted {
@@ -89,6 +80,7 @@
     pub(crate) async fn attempt(
         &mut self,
         server: &BackendServer,
+        unread: Millis,
         resume_after: Option<EventId>,
     ) -> Attempted {
         let gw = self.gw.clone();
@@ -105,10 +97,12 @@
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
         let on_current = self.count_current(server);
-        let under_way = gw.loads.send(server, self.reading_time(self.size.unwrap_or(0)));
+        let reading = self.reading_time(self.size.unwrap_or(0));
+        let expected = unread.after(reading).after(self.work(self.size).shared);
+        let under_way = gw.loads.send(server, reading);
         self.run = redwingfold_core::RunState::MayHaveRun;
         self.sends += 1;
-        let answered = self.wait_for_head(caller.send(req), server, sent_at).await;
+        let answered = self.wait_for_head(caller.send(req), server, expected).await;
         let (head, body) = match answered {
             Some(Ok(res)) => res.into_parts(),
             Some(Err(CallError::Unknown(why))) => return Attempted::Lost(why),
@@ -180,17 +174,15 @@
 
     /// Waits until the head has come, the time is over, or the silence is worth a second send.
     ///
-    /// A server that hangs keeps its connections open and says nothing to anyone; one whose answer
-    /// got lost goes on with others and says nothing to this request for ever, while its caller
-    /// waits until the deadline. A busy one is silent, too: so under pressure only the first kind
-    /// counts, or a queue would double itself. A silence that may not be answered by a second send
-    /// ends nothing.
+    /// A silence that may not be answered by a second send ends nothing.
     async fn wait_for_head(
         &mut self,
         answered: impl Future<Output = Result<Response<Incoming>, CallError>>,
         server: &BackendServer,
-        sent_at: Millis,
+        expected: Millis,
     ) -> Option<Result<Response<Incoming>, CallError>> {
+        let owed = if self.route.stream.is_some() { Owed::Head(expected) } else { Owed::Plain };
+        let mut watch = SilenceWatch::new(self.gw.now(), SILENCE_POLL);
         let mut answered = pin!(answered);
         loop {
             let left = self.left();
@@ -200,26 +192,21 @@
             if let Some(res) = within(SILENCE_POLL.min(left), &mut answered).await {
                 return Some(res);
             }
-            if self.is_silent(server, sent_at) && self.try_again() {
+            if self.is_silent(&mut watch, server, owed) && self.try_again() {
                 return None;
             }
         }
     }
 
-    /// Says whether a server that owes this request bytes since a time is to be given up.
-    pub(crate) fn is_silent(&self, server: &BackendServer, since: Millis) -> bool {
-        let now = self.gw.now();
-        let aim = self.route.aim.0;
-        let (all, one) = match self.route.stream {
-            Some(stream) => {
-                let one = (aim * 2).max(stream.gap.0 * LOST_PAUSES);
-                (MIN_ENGINE_SILENCE.max(Millis(aim * 3 / 2)), MIN_ENGINE_SILENCE.max(Millis(one)))
-            }
-            None => (MIN_SILENCE.max(Millis(aim * 3 / 2)), MIN_SILENCE.max(Millis(aim * 2))),
-        };
-        let heard_at = self.gw.loads.heard_at(&server.id).max(since);
-        let is_calm = self.gw.pressure() < self.gw.settings.sizes.full;
-        now.since(heard_at) >= all || (is_calm && now.since(since) >= one)
+    /// Looks at whether a server that owes this request bytes is to be given up.
+    pub(crate) fn is_silent(
+        &self,
+        watch: &mut SilenceWatch,
+        server: &BackendServer,
+        owed: Owed,
+    ) -> bool {
+        watch.look(self.gw.now(), self.gw.loads.heard_at(&server.id));
+        watch.is_over(&self.gw.settings.silence, owed, self.route.aim, self.gw.pressure())
     }
 
     /// Says whether the request may run more than once.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -8,10 +8,10 @@
 use bytes::Bytes;
 use futures_lite::Stream;
 use http_body::Frame;
-use redwingfold_core::{EventSplitter, Millis};
+use redwingfold_core::{EventSplitter, Millis, Owed, SilenceWatch};
 
 use crate::answer::{Answer, boxed, passed_on};
-use crate::attempt::{Begun, Next};
+use crate::attempt::{Begun, Next, SILENCE_POLL};
 use crate::clock::sleep;
 use crate::request::Flight;
 use crate::rollouts::Sight;
@@ -19,9 +19,6 @@
 /// Chunks between a server and a caller; a slow caller holds its server back.
 const CHUNKS_IN_FLIGHT: usize = 4;
 
-/// Pause between looks at whether a stream has gone silent.
-const SILENCE_POLL: Millis = Millis(500);
-
 /// Begins to pass a stream on; the rest goes on in a task of its own.
 pub(crate) fn start(flight: Flight, begun: Box<Begun>) -> Answer {
     let (tx, rx) = bounded(CHUNKS_IN_FLIGHT);
@@ -159,10 +156,12 @@
             Step::Deadline
         };
         let silent = async {
-            let since = self.flight.gw.now();
+            let mut watch = SilenceWatch::new(self.flight.gw.now(), SILENCE_POLL);
+            let gap = self.flight.route.stream.map_or(Millis(0), |stream| stream.gap);
             loop {
                 sleep(SILENCE_POLL).await;
-                if self.flight.is_silent(&server, since) && self.flight.is_repeatable() {
+                let is_silent = self.flight.is_silent(&mut watch, &server, Owed::Event(gap));
+                if is_silent && self.flight.is_repeatable() {
                     return Step::Silent;
                 }
             }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -153,9 +153,9 @@
     ) -> Result<Box<Begun>, Failed> {
         loop {
             self.check_time()?;
-            let server = self.pick()?;
+            let (server, unread) = self.pick()?;
             let run_before = self.run;
-            let attempted = Box::pin(self.attempt(&server, resume_after)).await;
+            let attempted = Box::pin(self.attempt(&server, unread, resume_after)).await;
             self.log_attempt(&server, &attempted);
             match attempted {
                 Attempted::Begun(begun) => {
@@ -242,7 +242,7 @@
         self.facts.usage.prompt.saturating_sub(shared)
     }
 
-    fn work(&self, size: Option<usize>) -> Work {
+    pub(crate) fn work(&self, size: Option<usize>) -> Work {
         let shared = self.facts.shared_parts();
         let tokens = shared.iter().map(|part| part.tokens).sum();
         let size = size.unwrap_or(0);
@@ -361,12 +361,12 @@
         self.failed_at(&begun.server, Fault::Lost);
     }
 
-    /// Chooses a server for the model that is asked.
-    fn pick(&self) -> Result<BackendServer, Failed> {
-        self.pick_for(self.size).map(|(server, _)| server).ok_or_else(|| self.no_backend())
+    /// Chooses a server for the model that is asked; returns it with the time that it will take for
+    /// other prompts.
+    fn pick(&self) -> Result<(BackendServer, Millis), Failed> {
+        self.pick_for(self.size).ok_or_else(|| self.no_backend())
     }
 
-    /// Chooses a server for a model; returns it with the time that it will take for other prompts.
     fn pick_for(&self, size: Option<usize>) -> Option<(BackendServer, Millis)> {
         let now = self.gw.now();
         let session = self.facts.session.as_deref();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,7 +1,8 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SizePolicy, UrgencyPolicy,
+    CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SilencePolicy, SizePolicy,
+    UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -35,6 +36,8 @@
     pub health: HealthPolicy,
     /// How servers are chosen.
     pub placement: PlacementPolicy,
+    /// When silent servers are given up.
+    pub silence: SilencePolicy,
     /// When larger models are asked.
     pub sizes: SizePolicy,
     /// How requests are ranked at servers.
@@ -69,6 +72,7 @@
             canary: CanaryPolicy::default(),
             health: HealthPolicy::default(),
             placement: PlacementPolicy::default(),
+            silence: SilencePolicy::default(),
             sizes: SizePolicy::default(),
             urgency: UrgencyPolicy::default(),
             feeds: FeedPeriods::default(),
