fix(core): know the bound on an order's age though its feed was lost

Each gateway read the whole feed anew and took the order for just given, since a lost feed was known as of never. Change: a feed is known as of its last read, also while the next records cannot be read. Measured: lost_feed_is_still_known_as_of_its_last_read, red on the code before.

--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -75,9 +75,13 @@
         self.next
     }
 
-    /// Returns as of when the feed is known, if it is known at all.
+    /// Returns as of when the feed was last known, if it ever was.
+    ///
+    /// That holds also while the next records cannot be read: an order that comes with the whole feed anew is
+    /// younger than what was known before. Without that bound such an order was taken for just given, and
+    /// a good version was done after its deadline.
     pub fn as_of(&self) -> Option<Millis> {
-        self.next.map(|_| self.fresh_at)
+        (self.fresh_at > Millis(0)).then_some(self.fresh_at)
     }
 
     /// Says whether this gateway should read.
--- a/core/tests/feeds.rs
+++ b/core/tests/feeds.rs
@@ -148,3 +148,14 @@
     view.hear(told, Millis(PERIOD + 1), 0);
     assert!(view.is_due(Millis(PERIOD + 1)));
 }
+
+/// A store drops its history while an operator gives an order. A gateway reads the whole feed anew, and must
+/// know for how long that order may have stood there: since it last knew the feed.
+#[test]
+fn lost_feed_is_still_known_as_of_its_last_read() {
+    let mut view = FeedView::new(Millis(450));
+    assert_eq!(view.as_of(), None);
+    view.read(Millis(700), 4, 0);
+    view.lose();
+    assert_eq!((view.as_of(), view.next()), (Some(Millis(700)), None));
+}
