feat(gateway): log each answer that is dropped for a larger model's

Cause: which model was asked instead of which, at what confidence and pressure, stood in no line, though it decides a request's cost and quality.

--- a/gateway/src/flight_log.rs
+++ b/gateway/src/flight_log.rs
@@ -29,6 +29,22 @@
             ],
         );
     }
+
+    /// Writes a line for an answer that is dropped for a larger model's.
+    pub(crate) fn log_larger(&self, size: usize, confidence: u8, larger: usize) {
+        self.gw.telemetry.count("request.larger_model", 1);
+        self.gw.telemetry.info(
+            "larger_model",
+            &[
+                ("request", &self.facts.id),
+                ("model", &self.route.sizes[size]),
+                ("confidence", &confidence),
+                ("next", &self.route.sizes[larger]),
+                ("pressure", &format_args!("{:.2}", self.gw.pressure())),
+                ("spent_ms", &self.gw.now().since(self.begun)),
+            ],
+        );
+    }
 }
 
 impl Drop for Flight {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -228,6 +228,7 @@
         let may = self.sends < self.route.max_attempts;
         match self.larger(size, confidence).filter(|_| may) {
             Some(larger) if self.gw.try_repeat(&self.service, RepeatUse::Quality) => {
+                self.log_larger(size, confidence, larger);
                 self.size = Some(larger);
                 false
             }
