refactor(gateway): keep the choice of a model, news of roll-outs and usual times in files of their own

Cause: request.rs, rollouts.rs and canary.rs had grown to 453, 510 and 510 lines, each with several jobs. Measured: the tests of core, gateway and platform, green before and after.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of a gateway: routes, backend servers, placement, repeats, cascades and roll-outs.
 
+mod answers;
 mod budget;
 mod canary;
 mod catalog;
@@ -14,10 +15,9 @@
 mod status;
 mod urgency;
 
+pub use answers::{Counts, RouteEvidence, Shared, Times};
 pub use budget::{RepeatBudget, RepeatUse};
-pub use canary::{
-    Arm, Canary, CanaryPolicy, Counts, OrderAge, Phase, RolloutOrder, RouteEvidence, Shared, Times,
-};
+pub use canary::{Arm, Canary, CanaryPolicy, OrderAge, Phase, RolloutOrder};
 pub use catalog::{
     BackendId, CallLimits, Catalog, Customer, Priority, Repeat, Route, RouteName, Service,
     ServiceName, StreamRules,
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -10,7 +10,7 @@
 
 use crate::feeds::ServerChange;
 use crate::load::LoadNews;
-use crate::rollouts::{Recorded, RolloutNews};
+use crate::rollout_news::{Recorded, RolloutNews};
 
 /// One gateway's message.
 #[derive(Debug, Default, Deserialize, PartialEq, Serialize)]
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -16,7 +16,7 @@
 use crate::feeds::ServerChange;
 use crate::gateway::Gateway;
 use crate::peer_message::{PeerMessage, RolloutWire};
-use crate::rollouts::RolloutNews;
+use crate::rollout_news::RolloutNews;
 
 /// Time between messages while there is something to tell: a long prompt takes a second to read, and
 /// others should hear of it in a tenth of that.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use redwingfold_core::{
-    Arm, BackendId, BackendServer, Catalog, Customer, ErrorKind, EventId, Fault, Larger, Millis,
-    Place, Priority, Registry, RepeatUse, Route, RunState, ServerState, ServiceName, Work, place,
+    Arm, BackendId, BackendServer, Catalog, Customer, ErrorKind, EventId, Fault, Millis, Place,
+    Priority, Registry, RepeatUse, Route, RunState, ServerState, ServiceName, Work, place,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -51,7 +51,7 @@
     pub(crate) server: Option<BackendServer>,
     pub(crate) confidence: Option<u8>,
     /// The model that was asked last, and its confidence.
-    opinion: Option<(usize, u8)>,
+    pub(crate) opinion: Option<(usize, u8)>,
     pub(crate) first_byte: Option<Millis>,
     /// Events passed on, and the longest pause before one of them.
     pub(crate) events: usize,
@@ -220,35 +220,6 @@
         }
     }
 
-    /// Says whether an answer is kept with a model's confidence in it; if not, a larger model is next.
-    fn is_sure_enough(&mut self, size: usize, confidence: u8) -> bool {
-        if let Some(smaller) = self.opinion.replace((size, confidence)) {
-            self.gw.rises.borrow_mut().learn(&self.service, smaller, (size, confidence));
-        }
-        let may = self.sends < self.route.max_attempts;
-        match self.larger(size, confidence).filter(|_| may) {
-            Some(larger) if self.gw.try_repeat(&self.service, RepeatUse::Quality) => {
-                self.log_larger(size, confidence, larger);
-                self.size = Some(larger);
-                false
-            }
-            _ => true,
-        }
-    }
-
-    /// Chooses the model that should answer instead, if any.
-    fn larger(&self, size: usize, confidence: u8) -> Option<usize> {
-        let spent = self.gw.now().since(self.begun);
-        let larger: Vec<_> = (size + 1..self.route.sizes.len())
-            .map(|larger| Larger {
-                size: larger,
-                rise: self.gw.rises.borrow().expected(&self.service, size, larger),
-                in_time: spent.after(self.reading_time(larger)) < self.route.aim,
-            })
-            .collect();
-        self.gw.settings.sizes.larger(confidence, self.gw.pressure(), &larger)
-    }
-
     /// Estimates how long a server takes for the prompt; shared parts are mostly cached.
     pub(crate) fn reading_time(&self, size: usize) -> Millis {
         self.gw.rates.borrow().estimate(&self.service, size, self.own_tokens())
--- /dev/null
+++ b/gateway/src/rollout_news.rs
@@ -0,0 +1,55 @@
+//! What gateways tell each other of a roll-out.
+
+use std::collections::HashMap;
+
+use redwingfold_core::{Millis, Phase, RouteEvidence, ServiceName, VersionName};
+
+/// What one gateway tells the others of a roll-out.
+#[derive(Clone, Debug, PartialEq)]
+pub struct RolloutNews {
+    /// The service.
+    pub service: ServiceName,
+    /// The version that is rolled out.
+    pub target: VersionName,
+    /// Time since the order.
+    pub elapsed: Millis,
+    /// Its answers, by a hash of the route's name.
+    pub routes: HashMap<u32, RouteEvidence>,
+    /// Its requests under way at the version in service.
+    pub current_under_way: u64,
+    /// Whether it has found the target bad.
+    pub is_rolled_back: bool,
+    /// What the store says, as far as it knows: nothing, that the roll-out runs, or how it ended.
+    pub recorded: Recorded,
+}
+
+impl RolloutNews {
+    /// Splits it into parts with at most `max` routes each.
+    pub(crate) fn parts(self, max: usize) -> Vec<Self> {
+        let routes: Vec<_> = self.routes.iter().map(|(route, e)| (*route, *e)).collect();
+        let part = |routes: &[(u32, RouteEvidence)]| Self {
+            routes: routes.iter().copied().collect(),
+            ..self.clone()
+        };
+        if routes.is_empty() { vec![part(&[])] } else { routes.chunks(max).map(part).collect() }
+    }
+
+    /// Takes a later part of the same gateway's news.
+    pub(crate) fn take(&mut self, mut later: Self) {
+        let mut routes = std::mem::take(&mut self.routes);
+        routes.extend(std::mem::take(&mut later.routes));
+        *self = Self { routes, ..later };
+    }
+}
+
+/// What the store says of a roll-out.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Recorded {
+    /// Nothing that is known.
+    #[default]
+    Unknown,
+    /// It runs.
+    Running,
+    /// It ended so.
+    Ended(Phase),
+}
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -11,7 +11,9 @@
 
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::rollout_news::{Recorded, RolloutNews};
 use crate::sessions::Sessions;
+use crate::usual::Usual;
 
 /// Age at which another gateway's news no longer counts: it is gone or cut off.
 const MAX_NEWS_AGE: Millis = Millis(4_000);
@@ -22,62 +24,6 @@
 /// Time to the first byte beside the reading of the prompt: a few steps of a batch.
 const STEP: Millis = Millis(40);
 
-/// Weight of the newest time in the usual one.
-const NEWEST: f64 = 0.03;
-
-/// Times before the usual one says something.
-const MIN_USUAL: u32 = 12;
-
-/// What one gateway tells the others of a roll-out.
-#[derive(Clone, Debug, PartialEq)]
-pub struct RolloutNews {
-    /// The service.
-    pub service: ServiceName,
-    /// The version that is rolled out.
-    pub target: VersionName,
-    /// Time since the order.
-    pub elapsed: Millis,
-    /// Its answers, by a hash of the route's name.
-    pub routes: HashMap<u32, RouteEvidence>,
-    /// Its requests under way at the version in service.
-    pub current_under_way: u64,
-    /// Whether it has found the target bad.
-    pub is_rolled_back: bool,
-    /// What the store says, as far as it knows: nothing, that the roll-out runs, or how it ended.
-    pub recorded: Recorded,
-}
-
-impl RolloutNews {
-    /// Splits it into parts with at most `max` routes each.
-    pub(crate) fn parts(self, max: usize) -> Vec<Self> {
-        let routes: Vec<_> = self.routes.iter().map(|(route, e)| (*route, *e)).collect();
-        let part = |routes: &[(u32, RouteEvidence)]| Self {
-            routes: routes.iter().copied().collect(),
-            ..self.clone()
-        };
-        if routes.is_empty() { vec![part(&[])] } else { routes.chunks(max).map(part).collect() }
-    }
-
-    /// Takes a later part of the same gateway's news.
-    fn take(&mut self, mut later: Self) {
-        let mut routes = std::mem::take(&mut self.routes);
-        routes.extend(std::mem::take(&mut later.routes));
-        *self = Self { routes, ..later };
-    }
-}
-
-/// What the store says of a roll-out.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub enum Recorded {
-    /// Nothing that is known.
-    #[default]
-    Unknown,
-    /// It runs.
-    Running,
-    /// It ended so.
-    Ended(Phase),
-}
-
 #[derive(Debug, Default)]
 struct ServiceVersions {
     /// Versions in service.
@@ -127,29 +73,6 @@
     }
 }
 
-/// The usual time of the version in service: the mean of its logarithm.
-#[derive(Clone, Copy, Debug, Default)]
-struct Usual {
-    log: f64,
-    times: u32,
-}
-
-impl Usual {
-    /// Returns how many times the usual one a time is, once that is known.
-    fn ratio(self, time: f64) -> Option<f64> {
-        (self.times >= MIN_USUAL).then(|| time / self.log.exp())
-    }
-
-    fn learn(&mut self, time: f64) {
-        self.times = self.times.saturating_add(1);
-        let weight = (1.0 / f64::from(self.times)).max(NEWEST);
-        self.log += (time.max(MIN_TIME).ln() - self.log) * weight;
-    }
-}
-
-/// Shortest time that is learned, in milliseconds or as a ratio.
-const MIN_TIME: f64 = 0.05;
-
 /// What was seen of an answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Sight {
