--- a/core/src/serving/catalog.rs
+++ b/core/src/serving/catalog.rs
@@ -33,7 +33,7 @@
 }
 
 text_type!(
-    /// Id of one start of a backend server; a restart has another.
+    /// Id of a backend server; it may start again under it.
     BackendId
 );
 text_type!(
