--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,7 +15,7 @@
 
 use crate::clock::Clock;
 use crate::facts::Dialect;
-use crate::feeds::{Feeds, ServerChange};
+use crate::feeds::{Feed, Feeds, ServerChange};
 use crate::load::LoadTable;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
@@ -32,6 +32,17 @@
     Ending,
 }
 
+/// How a configuration came to a gateway.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConfigSource {
+    /// Its length on the wire.
+    pub bytes: usize,
+    /// Time that reading it took.
+    pub read: Millis,
+    /// Time that decoding it took.
+    pub decode: Millis,
+}
+
 /// What one process believes, decides and has under way. It belongs to one thread.
 pub struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -122,7 +133,8 @@
     ///
     /// A store that lost its newest records, or reads that overtake each other, would otherwise
     /// bring dropped keys and routes back.
-    pub fn configure(&self, catalog: Catalog) {
+    /// `source` says for the log how it came.
+    pub fn configure(&self, catalog: Catalog, source: &ConfigSource) {
         let version = catalog.version;
         let present = self.catalog().map_or(0, |c| c.version);
         if version <= present {
@@ -133,7 +145,14 @@
         self.moved.notify(usize::MAX);
         self.telemetry.info(
             "config_in_force",
-            &[("version", &version), ("before", &present), ("routes", &routes)],
+            &[
+                ("version", &version),
+                ("before", &present),
+                ("routes", &routes),
+                ("bytes", &source.bytes),
+                ("read_ms", &source.read),
+                ("decode_ms", &source.decode),
+            ],
         );
         self.telemetry.gauge("config.version", version);
     }
@@ -231,6 +250,14 @@
         f(&mut self.feeds.borrow_mut())
     }
 
+    /// Shows on the metrics page as of how long ago the operator's orders are known.
+    pub fn show_orders_age(&self) {
+        let as_of = self.with_feeds(|feeds| feeds.as_of(Feed::Orders));
+        if let Some(as_of) = as_of {
+            self.telemetry.gauge("orders.age_ms", self.now().since(as_of).0);
+        }
+    }
+
     /// Takes an own read of orders that began at `began` and ended at offset `next`.
     pub fn read_orders(&self, began: Millis, next: u64) {
         self.with_feeds(|feeds| feeds.read_orders(began, next));
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -35,7 +35,7 @@
     AnswerFacts, AttemptFacts, Dialect, ModelAsk, PromptPart, ReportedLoad, RequestFacts, Usage,
 };
 pub use feeds::{Feed, FeedPeriods, Feeds, ServerChange};
-pub use gateway::{Gateway, Standing};
+pub use gateway::{ConfigSource, Gateway, Standing};
 pub use net::{bind, connect, with_timeouts};
 pub use peers::{Peers, hear_peers, tell_peers};
 pub use rollout_news::{Recorded, RolloutNews};
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,14 +1,15 @@
 //! Calls to HTTP servers, each on a connection of its own unless it is kept by hand.
 
+use std::cell::Cell;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::body::Incoming;
+use http_body_util::{BodyExt, Full};
+use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use redwingfold_core::Millis;
 use smol::{LocalExecutor, Task};
@@ -89,16 +90,54 @@
         max: usize,
         limit: Millis,
     ) -> Result<Response<Bytes>, CallError> {
+        let progress = Progress::default();
         let answered = async {
             let (head, body) = self.send(req).await?.into_parts();
-            let body = Limited::new(body, max).collect().await;
-            let body = body.map_err(|e| CallError::Unknown(e.to_string()))?;
-            Ok(Response::from_parts(head, body.to_bytes()))
+            let body = read_body(body, max, &progress).await?;
+            Ok(Response::from_parts(head, body))
         };
-        within(limit, answered).await.unwrap_or(Err(CallError::Unknown("timeout".to_owned())))
+        let timeout = || Err(CallError::Unknown(format!("timeout after {progress}")));
+        within(limit, answered).await.unwrap_or_else(timeout)
     }
 }
 
+/// How much of an answer's body has been read.
+///
+/// A call that was given up says by this whether nothing came, or too slowly.
+#[derive(Debug, Default)]
+struct Progress {
+    bytes: Cell<usize>,
+    /// Length that the head names.
+    of: Cell<Option<u64>>,
+}
+
+impl fmt::Display for Progress {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.of.get() {
+            Some(of) => write!(f, "{} of {of} bytes", self.bytes.get()),
+            None => write!(f, "{} bytes", self.bytes.get()),
+        }
+    }
+}
+
+async fn read_body(
+    mut body: Incoming,
+    max: usize,
+    progress: &Progress,
+) -> Result<Bytes, CallError> {
+    progress.of.set(body.size_hint().exact());
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| CallError::Unknown(chain(&e)))?;
+        buf.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+        progress.bytes.set(buf.len());
+        if buf.len() > max {
+            return Err(CallError::Unknown(format!("longer than {max} bytes: {progress}")));
+        }
+    }
+    Ok(buf.freeze())
+}
+
 /// Calls a server on a connection of its own and reads the whole answer.
 ///
 /// # Errors
