test(platform): bring about a configuration that comes too late, failing

Ruled out: slow processors (decode_ms=46 for 291 kB on 0.09 of a core) and a store that refuses (it counts each call as answered). The store of the stand-ins heeds the size that a read asks for, a way can be slow.

--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -42,6 +42,8 @@
     pub keys: Vec<(&'static str, Vec<&'static str>)>,
     /// Limits, over the defaults.
     pub limits: Value,
+    /// Routes beside those, to make it long; each takes about 200 bytes.
+    pub idle_routes: usize,
 }
 
 impl Default for Config {
@@ -66,13 +68,15 @@
             ],
             keys: vec![("ani", vec!["key-ani"]), ("haus", vec!["key-haus"])],
             limits: none,
+            idle_routes: 0,
         }
     }
 }
 
 impl Config {
     fn json(&self) -> String {
-        let routes: Vec<_> = self.routes.iter().map(route_json).collect();
+        let mut routes: Vec<_> = self.routes.iter().map(route_json).collect();
+        routes.extend((0..self.idle_routes).map(idle_route_json));
         let tenants: Vec<_> =
             self.keys.iter().map(|(name, keys)| json!({"name": name, "api_keys": keys})).collect();
         let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 100_000,
@@ -92,6 +96,14 @@
     merged(base, &route.more)
 }
 
+fn idle_route_json(n: usize) -> Value {
+    json!({
+        "name": format!("idle-{n}"), "host": "a.example", "path_prefix": format!("/idle-{n}/"),
+        "kind": "idempotent", "timeout_ms": 10_000, "target_latency_ms": 300, "priority": 1,
+        "service": "plain", "max_attempts": 2, "public": true,
+    })
+}
+
 fn merged(mut base: Value, more: &Value) -> Value {
     if let (Some(base), Some(more)) = (base.as_object_mut(), more.as_object()) {
         base.extend(more.clone());
@@ -222,14 +234,21 @@
     }
 
     /// Starts a gateway and waits until it listens; returns its number.
+    pub fn start(&mut self) -> usize {
+        let store = self.store_way.as_ref().map_or(self.store.addr, |way| way.addr);
+        self.start_before(store)
+    }
+
+    /// Starts a gateway that finds the store at an address, and waits until it listens; returns its
+    /// number.
     ///
     /// # Panics
     ///
     /// If it does not start.
-    pub fn start(&mut self) -> usize {
+    pub fn start_before(&mut self, store: SocketAddr) -> usize {
         let n = self.gateways.len();
         let settings = self.folder.join(format!("boot-{n}.json"));
-        std::fs::write(&settings, self.boot(n)).expect("a settings file");
+        std::fs::write(&settings, self.boot(n, store)).expect("a settings file");
         let gateway = self.launch(&settings);
         self.gateways.push(gateway);
         n
@@ -254,8 +273,7 @@
         wait_for("a gateway is ready", || get(ready, "/ready").status() == 200);
     }
 
-    fn boot(&self, n: usize) -> String {
-        let store = self.store_way.as_ref().map_or(self.store.addr, |way| way.addr);
+    fn boot(&self, n: usize, store: SocketAddr) -> String {
         let bounds = json!({"grace_s": 4.0, "retry_budget_ratio": 0.9, "budget_window_s": 10,
             "session_s": 5});
         json!({
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -10,6 +10,9 @@
 
 use super::http::{Head, read_body, read_head};
 
+/// Kilobytes that a read returns where it does not say.
+const DEFAULT_READ_KB: u64 = 1_024;
+
 /// How the store misbehaves.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum StoreFault {
@@ -168,18 +171,20 @@
                 reply
             }
             "/log-read" => {
-                self.read(topic, number("from").unwrap_or(0), number("wait_ms").unwrap_or(0))
+                let from = number("from").unwrap_or(0);
+                let max = number("max_kb").unwrap_or(DEFAULT_READ_KB) * 1024;
+                self.read(topic, from, max as usize, number("wait_ms").unwrap_or(0))
             }
             "/log-newest" => self.lock().page(topic, query.get("after").copied()),
             _ => (404, Vec::new()),
         }
     }
 
-    fn read(&self, topic: &str, from: u64, wait_ms: u64) -> Reply {
+    fn read(&self, topic: &str, from: u64, max: usize, wait_ms: u64) -> Reply {
         let until = Instant::now() + Duration::from_millis(wait_ms);
         let mut state = self.lock();
         loop {
-            let found = state.read(topic, from);
+            let found = state.read(topic, from, max);
             let left = until.saturating_duration_since(Instant::now());
             match found {
                 Some(reply) => return reply,
@@ -229,7 +234,8 @@
         self.append(topic, records)
     }
 
-    fn read(&self, name: &str, from: u64) -> Option<Reply> {
+    /// Returns records of about `max` bytes in all, but one at least.
+    fn read(&self, name: &str, from: u64, max: usize) -> Option<Reply> {
         let topic = self.topics.get(name)?;
         if from < topic.first {
             return Some((410, json!({"first": topic.first}).to_string().into_bytes()));
@@ -239,7 +245,10 @@
             return None;
         }
         let mut body = topic.bounds();
-        for record in records {
+        for (i, record) in records.iter().enumerate() {
+            if i > 0 && body.len() + record.len() > max {
+                break;
+            }
             body.extend_from_slice(&(record.len() as u32).to_be_bytes());
             body.extend_from_slice(record);
         }
--- a/standins/src/tcp_proxy.rs
+++ b/standins/src/tcp_proxy.rs
@@ -27,6 +27,8 @@
     Delay(Duration),
     /// What the service sends is lost; what is sent to it arrives.
     OneWay,
+    /// What the service sends passes at so many bytes a second, on each connection.
+    Rate(u64),
     /// Nothing arrives either way, and connections stay open.
     Silent,
 }
@@ -45,6 +47,8 @@
     fault: Mutex<LinkFault>,
     /// Connections made before the newest of these stay silent for good.
     generation: AtomicU64,
+    /// Bytes of the service that have passed.
+    passed: AtomicU64,
 }
 
 impl Link {
@@ -97,6 +101,11 @@
         self.set_fault(if cut { LinkFault::Cut } else { LinkFault::None });
     }
 
+    /// Returns the bytes that the service has sent through it.
+    pub fn passed(&self) -> u64 {
+        self.link.passed.load(Ordering::SeqCst)
+    }
+
     /// Loses track of the connections that exist now: they stay open and say nothing more, for good. New
     /// ones work.
     pub fn silence_connections(&self) {
@@ -129,7 +138,13 @@
             }
             LinkFault::OneWay if way == Way::Back => continue,
             LinkFault::Silent => continue,
-            LinkFault::None | LinkFault::Cut | LinkFault::OneWay => {}
+            LinkFault::Rate(rate) if way == Way::Back => {
+                Timer::after(Duration::from_secs_f64(len as f64 / rate as f64)).await;
+            }
+            LinkFault::None | LinkFault::Cut | LinkFault::OneWay | LinkFault::Rate(_) => {}
+        }
+        if way == Way::Back {
+            link.passed.fetch_add(len as u64, Ordering::SeqCst);
         }
         if to.write_all(&buf[..len]).await.is_err() {
             return;
