fix(platform): read a large configuration over a slow link, and only its newest version

Cause: a call of the store was bounded as a whole (700 ms), and a read that did not end by then began anew from its start. A configuration of 850 kB takes 680 ms of 10 Mbit/s alone; two versions in one answer take twice that, so that no try ended and a gateway never came forward again. Ruled out: processors and the store (see the incident). Change: only the silence between bytes is bounded, and that bound follows what calls had to bear (0.7 to 5.6 s). A read that brings several large records is left after its first bytes for the newest of each key.

--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -130,6 +130,25 @@
     }
 }
 
+/// Length of an answer from which on it pays to ask for the newest of each key instead: below it a second
+/// call takes longer than the bytes that it saves.
+const LONG_ANSWER: u64 = 64 * 1024;
+
+/// Says whether the newest record of each key is shorter than all records since the last read.
+///
+/// A record that holds everything makes those before it useless. A gateway with 10 Mbit/s, behind by
+/// several configurations of 300 kB each that came 0.4 s apart, would read them all one by one and never catch up.
+/// `behind` is the number of records that are due, `bytes` the length of the answer that brings them.
+///
+/// ```
+/// use redwingfold_core::is_newest_shorter;
+/// assert!(is_newest_shorter(2, 600_000));
+/// assert!(!is_newest_shorter(1, 600_000) && !is_newest_shorter(20, 9_000));
+/// ```
+pub fn is_newest_shorter(behind: u64, bytes: u64) -> bool {
+    behind > 1 && bytes >= LONG_ANSWER
+}
+
 /// What the last reads of a feed brought, to be told again with each message.
 ///
 /// A message that is lost leaves a gap before the next one, and whoever missed it reads the store.
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod feed;
 mod health;
 mod load;
+mod patience;
 mod placement;
 mod registry;
 mod silence;
@@ -24,9 +25,10 @@
     ServiceName, StreamRules,
 };
 pub use events::{EventId, EventSplitter, WholeEvents};
-pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView};
+pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView, is_newest_shorter};
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
+pub use patience::Patience;
 pub use placement::{Place, PlacementPolicy, Work, place};
 pub use registry::{BackendServer, PutOutcome, Registry, RegistryPolicy, ServerState};
 pub use silence::{Owed, SilencePolicy, SilenceWatch};
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -105,7 +105,9 @@
         let answered = self.wait_for_head(caller.send(req), server, expected).await;
         let (head, body) = match answered {
             Some(Ok(res)) => res.into_parts(),
-            Some(Err(CallError::Unknown(why))) => return Attempted::Lost(why),
+            Some(Err(CallError::Silent(why) | CallError::Unknown(why))) => {
+                return Attempted::Lost(why);
+            }
             Some(Err(e @ CallError::Unreachable(_))) => return Attempted::Lost(e.to_string()),
             None if self.left() == Millis(0) => return Attempted::Lost("deadline".to_owned()),
             None => return Attempted::Silent,
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -42,4 +42,4 @@
 pub use rollouts::Rollouts;
 pub use serve::{serve_callers, serve_pages};
 pub use settings::GatewaySettings;
-pub use upstream::{CallError, Caller, call};
+pub use upstream::{CallError, Caller, Reading};
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,13 +1,12 @@
 //! Calls to HTTP servers, each on a connection of its own unless it is kept by hand.
 
-use std::cell::Cell;
 use std::fmt;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response};
+use http::{Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -15,7 +14,7 @@
 use smol::{LocalExecutor, Task};
 use smol_hyper::rt::FuturesIo;
 
-use crate::clock::within;
+use crate::clock::{Clock, within};
 use crate::net::connect;
 
 /// Why a call has no answer.
@@ -23,6 +22,8 @@
 pub enum CallError {
     /// No connection could be made: the server has not received the call.
     Unreachable(io::Error),
+    /// The server may have received the call, and said nothing more for as long as was waited.
+    Silent(String),
     /// The server may have received the call; its answer is not known.
     Unknown(String),
 }
@@ -31,7 +32,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Unreachable(e) => write!(f, "unreachable: {e}"),
-            Self::Unknown(why) => write!(f, "answer unknown: {why}"),
+            Self::Silent(why) | Self::Unknown(why) => write!(f, "answer unknown: {why}"),
         }
     }
 }
@@ -79,78 +80,109 @@
         self.tx.send_request(req).await.map_err(|e| CallError::Unknown(chain(&e)))
     }
 
-    /// Sends a request and reads the whole answer, up to `max` bytes, within a time.
+    /// Sends a request and returns the answer as it begins; its body may have up to `max` bytes.
     ///
     /// # Errors
     ///
-    /// [`CallError::Unknown`]: the server may have received it.
-    pub async fn whole(
+    /// [`CallError::Silent`] if nothing came for a span, else [`CallError::Unknown`]: the server may have
+    /// received it.
+    pub async fn begin(
         &mut self,
         req: Request<Full<Bytes>>,
         max: usize,
-        limit: Millis,
-    ) -> Result<Response<Bytes>, CallError> {
-        let progress = Progress::default();
-        let answered = async {
-            let (head, body) = self.send(req).await?.into_parts();
-            let body = read_body(body, max, &progress).await?;
-            Ok(Response::from_parts(head, body))
-        };
-        let timeout = || Err(CallError::Unknown(format!("timeout after {progress}")));
-        within(limit, answered).await.unwrap_or_else(timeout)
+        silence: Millis,
+    ) -> Result<Reading, CallError> {
+        let began = Clock.now();
+        let silent = || Err(CallError::Silent(format!("no answer in {silence} ms")));
+        let res = within(silence, self.send(req)).await.unwrap_or_else(silent)?;
+        let (head, body) = res.into_parts();
+        let of = body.size_hint().exact();
+        let longest = Clock.now().since(began);
+        Ok(Reading { head, body, buf: BytesMut::new(), of, max, silence, longest })
     }
 }
 
-/// How much of an answer's body has been read.
+/// An answer whose body is being read.
 ///
-/// A call that was given up says by this whether nothing came, or too slowly.
-#[derive(Debug, Default)]
-struct Progress {
-    bytes: Cell<usize>,
+/// It may take as long as its bytes need, as long as some come: see [`redwingfold_core::Patience`].
+#[derive(Debug)]
+pub struct Reading {
+    head: response::Parts,
+    body: Incoming,
+    buf: BytesMut,
     /// Length that the head names.
-    of: Cell<Option<u64>>,
+    of: Option<u64>,
+    max: usize,
+    silence: Millis,
+    /// The longest silence so far.
+    longest: Millis,
 }
 
-impl fmt::Display for Progress {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self.of.get() {
-            Some(of) => write!(f, "{} of {of} bytes", self.bytes.get()),
-            None => write!(f, "{} bytes", self.bytes.get()),
-        }
+impl Reading {
+    /// Returns the status.
+    pub fn status(&self) -> StatusCode {
+        self.head.status
     }
-}
 
-async fn read_body(
-    mut body: Incoming,
-    max: usize,
-    progress: &Progress,
-) -> Result<Bytes, CallError> {
-    progress.of.set(body.size_hint().exact());
-    let mut buf = BytesMut::new();
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|e| CallError::Unknown(chain(&e)))?;
-        buf.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
-        progress.bytes.set(buf.len());
-        if buf.len() > max {
-            return Err(CallError::Unknown(format!("longer than {max} bytes: {progress}")));
+    /// Returns the length of the body, if the head names it.
+    pub fn length(&self) -> Option<u64> {
+        self.of
+    }
+
+    /// Returns the longest silence before the answer and within it.
+    pub fn longest_silence(&self) -> Millis {
+        self.longest
+    }
+
+    /// Reads on until the body has a length or ends, and returns what there is of it.
+    ///
+    /// # Errors
+    ///
+    /// [`CallError::Silent`] if nothing came for a span; [`CallError::Unknown`] if it broke off or is too long.
+    pub async fn until(&mut self, len: usize) -> Result<&[u8], CallError> {
+        while self.buf.len() < len && self.more().await? {}
+        Ok(&self.buf)
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// See [`Reading::until`].
+    pub async fn whole(&mut self) -> Result<Bytes, CallError> {
+        while self.more().await? {}
+        Ok(self.buf.split().freeze())
+    }
+
+    async fn more(&mut self) -> Result<bool, CallError> {
+        let began = Clock.now();
+        let Some(frame) = within(self.silence, self.body.frame()).await else {
+            let why = format!("silent for {} ms after {}", self.silence, self.progress());
+            return Err(CallError::Silent(why));
+        };
+        self.longest = self.longest.max(Clock.now().since(began));
+        match frame {
+            None => Ok(false),
+            Some(Err(e)) => {
+                Err(CallError::Unknown(format!("{} after {}", chain(&e), self.progress())))
+            }
+            Some(Ok(frame)) => {
+                self.buf.extend_from_slice(frame.data_ref().map_or(&[], |data| data));
+                match self.buf.len() > self.max {
+                    false => Ok(true),
+                    true => Err(CallError::Unknown(format!("longer than {} bytes", self.max))),
+                }
+            }
         }
     }
-    Ok(buf.freeze())
-}
 
-/// Calls a server on a connection of its own and reads the whole answer.
-///
-/// # Errors
-///
-/// See [`CallError`].
-pub async fn call(
-    executor: &Rc<LocalExecutor<'static>>,
-    addr: SocketAddr,
-    req: Request<Full<Bytes>>,
-    max: usize,
-    limit: Millis,
-) -> Result<Response<Bytes>, CallError> {
-    Caller::connect(executor, addr, limit).await?.whole(req, max, limit).await
+    /// Says how much has come: who looks at a failed call sees whether nothing did, or too slowly.
+    fn progress(&self) -> String {
+        match self.of {
+            Some(of) => format!("{} of {of} bytes", self.buf.len()),
+            None => format!("{} bytes", self.buf.len()),
+        }
+    }
 }
 
 /// Writes an error with its causes.
