feat(gateway): pass the operator's records on between gateways

Cause: the store was each gateway's only way to a configuration. One that the store turns away stays with what it has for as long as that lasts, and behind a slow link each change costs the whole configuration, though a neighbour knows it and the change is small. Ruled out: messages of changes in datagrams (1,400 routes do not fit one), and reading more often (the link is the limit). Change: a gateway that hears that another one knows the operator's topic further asks it, and gets the newest records as what differs from those that it has, written by zstd with these as the base; the store is read as well after 0.3 s, and whichever comes first counts. What is fetched is compared by its digest and told on. At most eight are served at a time. Ages count from the read of the store.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -52,7 +52,7 @@
 pub use serving::{
     Arm, BackendId, BackendServer, CallLimits, Canary, CanaryPolicy, Catalog, Counts, Customer,
     EventId, EventSplitter, Fault, FeedHeard, FeedPast, FeedTold, FeedView, HealthPolicy, Larger,
-    OrderAge, Owed, Patience, PeerLoad, PeerLoads, Phase, Place, PlacementPolicy, Pressure,
+    Leads, OrderAge, Owed, Patience, PeerLoad, PeerLoads, Phase, Place, PlacementPolicy, Pressure,
     Priority, PutOutcome, ReadRates, Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse,
     Rises, RolloutOrder, Route, RouteEvidence, RouteName, ServerHealth, ServerReport, ServerState,
     Service, ServiceName, Shared, SilencePolicy, SilenceWatch, SizePolicy, StatusBook, StreamRules,
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -7,6 +7,7 @@
 mod events;
 mod feed;
 mod health;
+mod leads;
 mod load;
 mod patience;
 mod placement;
@@ -27,6 +28,7 @@
 pub use events::{EventId, EventSplitter, WholeEvents};
 pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView, is_newest_shorter};
 pub use health::{Fault, HealthPolicy, ServerHealth};
+pub use leads::Leads;
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
 pub use patience::Patience;
 pub use placement::{Place, PlacementPolicy, Work, place};
--- /dev/null
+++ b/gateway/src/exchange/beliefs.rs
@@ -0,0 +1,63 @@
+//! What a gateway keeps of the operator's topic, and of the gateways that know more of it.
+
+use std::net::SocketAddr;
+
+use redwingfold_core::{FeedTold, Millis};
+
+use super::image::{Orders, Record};
+use crate::feeds::Feed;
+use crate::gateway::Gateway;
+
+impl Gateway {
+    pub(crate) fn with_orders<T>(&self, f: impl FnOnce(&mut Orders) -> T) -> T {
+        f(&mut self.orders.borrow_mut())
+    }
+
+    /// Takes an own read of the operator's topic that began at `began` and ended at offset `next`; `is_all` says
+    /// that it brought the newest record of each key.
+    pub fn read_orders(&self, records: &[Record], is_all: bool, next: u64, began: Millis) {
+        self.with_orders(|orders| orders.read(records, is_all, next, began));
+        self.know_orders(next, began);
+    }
+
+    /// Notes how far the operator's topic is known, and has the other gateways told.
+    pub fn know_orders(&self, next: u64, as_of: Millis) {
+        self.with_feeds(|feeds| feeds.read_orders(as_of, next));
+        self.news.notify(usize::MAX);
+    }
+
+    /// Takes another gateway's word on how far it knows the operator's topic.
+    pub(crate) fn hear_orders(&self, from: SocketAddr, told: FeedTold) {
+        let now = self.now();
+        self.with_feeds(|feeds| feeds.hear_orders(told, now));
+        self.leads.borrow_mut().heard(from, told.next, now);
+        if self.is_behind() {
+            self.ahead.notify(usize::MAX);
+        }
+    }
+
+    /// Says whether another gateway is known to know more of the operator's topic.
+    pub fn is_behind(&self) -> bool {
+        self.lead().is_some()
+    }
+
+    /// Shows on the metrics page how old this gateway's knowledge of the operator's topic is.
+    pub fn show_orders_age(&self) {
+        if let Some(as_of) = self.with_feeds(|feeds| feeds.as_of(Feed::Orders)) {
+            self.telemetry.gauge("orders.age_ms", self.now().since(as_of).0);
+            self.telemetry.gauge("orders.is_behind", u64::from(self.is_behind()));
+        }
+    }
+
+    pub(super) fn orders_next(&self) -> Option<u64> {
+        self.with_feeds(|feeds| feeds.next(Feed::Orders))
+    }
+
+    pub(super) fn lead(&self) -> Option<SocketAddr> {
+        self.leads.borrow().pick(self.orders_next(), fastrand::u64(..), self.now())
+    }
+
+    pub(super) fn lead_failed(&self, gateway: SocketAddr) {
+        self.leads.borrow_mut().failed(gateway, self.now());
+    }
+}
--- /dev/null
+++ b/gateway/src/exchange/fetch.rs
@@ -0,0 +1,111 @@
+//! Asking a gateway that knows more.
+
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, StatusCode};
+use http_body_util::Full;
+use redwingfold_core::Millis;
+
+use super::image::{Offer, Record, Unfit};
+use super::page::Ask;
+use crate::clock::within;
+use crate::gateway::Gateway;
+use crate::upstream::Caller;
+
+/// Longest silence of a gateway that is asked. It writes its answer in some 10 ms of a whole core; a host with
+/// a tenth of one takes ten times as long.
+const SILENCE: Millis = Millis(1_000);
+
+/// Longest wait for word of another gateway that is ahead: what was heard may be of use again by then, as a
+/// gateway that failed is asked once more.
+const LOOK_EVERY: Millis = Millis(100);
+
+/// What another gateway knows.
+#[derive(Clone, Debug)]
+pub struct Fetched {
+    /// The newest record of each key.
+    pub records: Vec<Record>,
+    /// Offset from which to read on.
+    pub next: u64,
+    /// Begin of the read of the store that brought them.
+    pub as_of: Millis,
+}
+
+/// Waits until another gateway is ahead and has said what it knows.
+///
+/// It never ends without; whoever waits reads the store meanwhile.
+pub async fn fetch_orders(gw: &Gateway) -> Fetched {
+    let mut have = gw.with_orders(|orders| orders.digest());
+    loop {
+        let ahead = gw.ahead.listen();
+        let Some(gateway) = gw.lead() else {
+            within(LOOK_EVERY, ahead).await;
+            continue;
+        };
+        match ask(gw, gateway, have).await {
+            Ok(Some(fetched)) => return fetched,
+            // It knows no more than this gateway, which has learnt something meanwhile.
+            Ok(None) => gw.lead_failed(gateway),
+            Err(why) => {
+                gw.lead_failed(gateway);
+                gw.telemetry.count("orders.not_passed_on", 1);
+                gw.telemetry.debug("orders_not_passed_on", &[("from", &gateway), ("why", &why)]);
+                // The next one is asked for all, in case this gateway's own image is at fault.
+                have = None;
+            }
+        }
+    }
+}
+
+async fn ask(
+    gw: &Gateway,
+    gateway: SocketAddr,
+    have: Option<u64>,
+) -> Result<Option<Fetched>, String> {
+    let began = gw.now();
+    let ask = Ask { have, next: gw.orders_next() };
+    let max = gw.settings.max_orders;
+    let body = get(gw, gateway, ask, max).await?;
+    let Some(body) = body else { return Ok(None) };
+    let offer: Offer = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
+    // What the answer took is counted as its age, too: the store may have moved on meanwhile.
+    let as_of = Millis(began.0.saturating_sub(offer.age));
+    let records = gw.with_orders(|orders| orders.take(&offer, as_of, max));
+    let records = records.map_err(|unfit| match unfit {
+        Unfit::Base => "it differs from what is not known here".to_owned(),
+        Unfit::Content => "it is not what it says".to_owned(),
+        Unfit::Length => format!("it has {} bytes", offer.len),
+    })?;
+    gw.telemetry.info(
+        "orders_heard",
+        &[
+            ("from", &gateway),
+            ("next", &offer.next),
+            ("age_ms", &offer.age),
+            ("bytes", &body.len()),
+            ("of", &offer.len),
+            ("took_ms", &gw.now().since(began)),
+        ],
+    );
+    Ok(Some(Fetched { records, next: offer.next, as_of }))
+}
+
+async fn get(
+    gw: &Gateway,
+    gateway: SocketAddr,
+    ask: Ask,
+    max: usize,
+) -> Result<Option<Bytes>, String> {
+    let connected = Caller::connect(&gw.executor, gateway, gw.settings.connect_timeout).await;
+    let mut caller = connected.map_err(|e| e.to_string())?;
+    let req = Request::get(ask.target()).header("host", gateway.to_string());
+    let req = req.body(Full::default()).map_err(|e| e.to_string())?;
+    let mut reading = caller.begin(req, max, SILENCE).await.map_err(|e| e.to_string())?;
+    let body = reading.whole().await.map_err(|e| e.to_string())?;
+    match reading.status() {
+        StatusCode::OK => Ok(Some(body)),
+        StatusCode::NO_CONTENT => Ok(None),
+        status => Err(format!("refused with {status}")),
+    }
+}
--- /dev/null
+++ b/gateway/src/exchange/tests.rs
@@ -0,0 +1,128 @@
+//! Passing the operator's records on: what is written is read again, and nothing else is taken.
+
+use bytes::Bytes;
+use redwingfold_core::Millis;
+
+use super::delta;
+use super::image::{Offer, Orders, Record, Unfit};
+
+const MAX: usize = 16 * 1024 * 1024;
+
+/// Text of a configuration with a number of routes, of which those from `first` on are told apart by a seed.
+fn config(routes: usize, first: usize, seed: u64) -> Bytes {
+    let mut rng = fastrand::Rng::with_seed(7);
+    let mut other = fastrand::Rng::with_seed(seed);
+    let word = |rng: &mut fastrand::Rng| -> String {
+        (0..8).map(|_| char::from(rng.u8(b'a'..=b'z'))).collect()
+    };
+    let mut text = String::from("{\"routes\":[");
+    for n in 0..routes {
+        let rng = if n < first { &mut rng } else { &mut other };
+        text += &format!(
+            "{{\"name\":\"r-{}\",\"host\":\"slips.example\",\"prefix\":\"/{}/\",\"kind\":\"idempotent\",\
+             \"timeout_ms\":1500,\"target_latency_ms\":300,\"priority\":2,\"service\":\"pool\",\"max_attempts\":2}},",
+            word(rng),
+            word(rng)
+        );
+    }
+    (text + "]}").into()
+}
+
+fn record(key: &str, value: &Bytes) -> Record {
+    Record { key: key.to_owned(), value: Some(value.clone()) }
+}
+
+fn orders(config: &Bytes, next: u64) -> Orders {
+    let mut orders = Orders::default();
+    let rollout = Bytes::from_static(b"{\"target\":\"v2\"}");
+    orders.read(
+        &[record("config", config), record("rollout/pool", &rollout)],
+        true,
+        next,
+        Millis(0),
+    );
+    orders
+}
+
+fn offered(from: &mut Orders, to: &Orders, next: u64) -> Offer {
+    from.offer(to.digest(), Some(next), Millis(40)).expect("it knows more")
+}
+
+/// A change that touches one route of 4,250 is passed on in a thousandth of the configuration's length, and
+/// one that adds a third of the routes in a fiftieth. A gateway behind 10 Mbit/s has it in some
+/// 10 ms, where the store's 0.8 MB take 680 ms.
+#[test]
+fn change_in_a_large_configuration_takes_few_bytes() {
+    let before = config(4_250, 4_250, 0);
+    for (routes, part) in [(1, 1_000), (1_400, 50)] {
+        let after = config(4_250 + routes, 4_250, 1);
+        let delta = delta::write(&after, &before).unwrap();
+        assert!(delta.len() * part < after.len(), "{} of {} bytes", delta.len(), after.len());
+        assert_eq!(delta::read(&delta, &before, after.len()).unwrap(), after);
+    }
+}
+
+/// Between two reads of a gateway some versions came. Another one that is as far behind as that gets the difference;
+/// one that is further behind, or has just started, gets all of it; one that knows as much gets nothing.
+#[test]
+fn whoever_is_behind_gets_the_newest() {
+    let configs: Vec<_> = (0..8).map(|n| config(500 + n, 500, n as u64)).collect();
+    let mut knows = orders(&configs[0], 1);
+    let mut behind: Vec<_> = configs.iter().take(7).map(|config| orders(config, 1)).collect();
+    for (n, config) in configs.iter().enumerate().skip(1) {
+        knows.read(&[record("config", config)], false, 1 + n as u64, Millis(10 * n as u64));
+    }
+    for (n, gateway) in behind.iter_mut().enumerate() {
+        let offer = offered(&mut knows, gateway, 1);
+        assert_eq!(offer.base.is_some(), n >= 3, "four earlier ones are kept, and this is {n}");
+        assert_eq!((offer.next, offer.age), (8, 0));
+        let records = gateway.take(&offer, Millis(70), MAX).unwrap();
+        assert_eq!(records[0], record("config", &configs[7]));
+        assert_eq!((records.len(), gateway.digest()), (2, knows.digest()));
+    }
+    let offer = knows.offer(None, None, Millis(90)).unwrap();
+    assert_eq!((offer.base, offer.age), (None, 20));
+    assert!(knows.offer(behind[0].digest(), Some(8), Millis(90)).is_none());
+}
+
+/// A key is dropped, another one changes, and all of them are read anew: whoever fetched them has what was
+/// read, in every order of reads and fetches.
+#[test]
+fn fetched_records_are_those_that_were_read() {
+    let mut rng = fastrand::Rng::with_seed(21);
+    let (mut reader, mut fetcher) = (Orders::default(), Orders::default());
+    for next in 1..400 {
+        let key = format!("key-{}", rng.u8(..6));
+        let value = rng.bool().then(|| config(rng.usize(..40), 0, next));
+        reader.read(&[Record { key, value }], rng.u8(..20) == 0, next, Millis(next));
+        if rng.u8(..3) == 0 {
+            let offer = reader.offer(fetcher.digest(), Some(next - 1), Millis(next)).unwrap();
+            fetcher.take(&offer, Millis(next), MAX).unwrap();
+            assert_eq!(fetcher.digest(), reader.digest());
+        }
+    }
+}
+
+/// An answer that was cut, spoilt, or made from what this gateway does not have is not taken, and changes
+/// nothing; nor is one that would take more memory than there is for it.
+#[test]
+fn offer_that_does_not_fit_is_not_taken() {
+    let (before, after) = (config(300, 300, 0), config(310, 300, 1));
+    let mut knows = orders(&before, 1);
+    knows.read(&[record("config", &after)], false, 2, Millis(0));
+    let mut behind = orders(&before, 1);
+    let digest = behind.digest();
+    let offer = |knows: &mut Orders| knows.offer(digest, Some(1), Millis(0)).unwrap();
+    let cut = Offer { delta: offer(&mut knows).delta.slice(..9), ..offer(&mut knows) };
+    assert!(matches!(behind.take(&cut, Millis(0), MAX), Err(Unfit::Content)));
+    let other = Offer { digest: 7, ..offer(&mut knows) };
+    assert!(matches!(behind.take(&other, Millis(0), MAX), Err(Unfit::Content)));
+    let strange = Offer { base: Some(7), ..offer(&mut knows) };
+    assert!(matches!(behind.take(&strange, Millis(0), MAX), Err(Unfit::Base)));
+    assert!(matches!(behind.take(&offer(&mut knows), Millis(0), 99), Err(Unfit::Length)));
+    let short = Offer { len: 99, ..offer(&mut knows) };
+    assert!(matches!(behind.take(&short, Millis(0), MAX), Err(Unfit::Content)));
+    assert_eq!(behind.digest(), digest);
+    behind.take(&offer(&mut knows), Millis(0), MAX).unwrap();
+    assert_eq!(behind.digest(), knows.digest());
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -3,19 +3,21 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::fmt;
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, Millis, Pressure, PutOutcome, ReadRates, Registry,
+    BackendId, BackendServer, Catalog, Leads, Millis, Pressure, PutOutcome, ReadRates, Registry,
     RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
 
 use crate::clock::Clock;
+use crate::exchange::Orders;
 use crate::facts::Dialect;
-use crate::feeds::{Feed, Feeds, ServerChange};
+use crate::feeds::{Feeds, ServerChange};
 use crate::load::LoadTable;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
@@ -59,6 +61,11 @@
     is_registry_known: Cell<bool>,
     rollouts: RefCell<Rollouts>,
     feeds: RefCell<Feeds>,
+    pub(crate) orders: RefCell<Orders>,
+    /// Other gateways that told how far they know the operator's topic.
+    pub(crate) leads: RefCell<Leads<SocketAddr>>,
+    /// Another gateway knows more of it.
+    pub(crate) ahead: Event,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     pub(crate) rates: RefCell<ReadRates>,
     pub(crate) rises: RefCell<Rises>,
@@ -102,6 +109,9 @@
             is_registry_known: Cell::new(false),
             rollouts: RefCell::new(rollouts),
             feeds: RefCell::new(feeds),
+            orders: RefCell::default(),
+            leads: RefCell::default(),
+            ahead: Event::new(),
             budgets: RefCell::default(),
             rates: RefCell::default(),
             rises: RefCell::default(),
@@ -250,20 +260,6 @@
         f(&mut self.feeds.borrow_mut())
     }
 
-    /// Shows on the metrics page as of how long ago the operator's orders are known.
-    pub fn show_orders_age(&self) {
-        let as_of = self.with_feeds(|feeds| feeds.as_of(Feed::Orders));
-        if let Some(as_of) = as_of {
-            self.telemetry.gauge("orders.age_ms", self.now().since(as_of).0);
-        }
-    }
-
-    /// Takes an own read of orders that began at `began` and ended at offset `next`.
-    pub fn read_orders(&self, began: Millis, next: u64) {
-        self.with_feeds(|feeds| feeds.read_orders(began, next));
-        self.news.notify(usize::MAX);
-    }
-
     /// Takes an own read of servers that began at `began` and ended at offset `next`, with what it
     /// changed.
     pub fn read_servers(&self, began: Millis, next: u64, changes: Vec<ServerChange>) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,6 +7,7 @@
 mod answer;
 mod attempt;
 mod clock;
+mod exchange;
 mod facts;
 mod feeds;
 mod flight_log;
@@ -31,6 +32,7 @@
 
 pub use answer::{Answer, AnswerBody, text_answer};
 pub use clock::Clock;
+pub use exchange::{Fetched, Record, fetch_orders, orders_page};
 pub use facts::{
     AnswerFacts, AttemptFacts, Dialect, ModelAsk, PromptPart, ReportedLoad, RequestFacts, Usage,
 };
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -237,7 +237,7 @@
     let now = gw.now();
     gw.loads.hear(message.take_loads(), now);
     if let Some(orders) = message.orders {
-        gw.with_feeds(|feeds| feeds.hear_orders(orders.into(), now));
+        gw.hear_orders(from, orders.into());
     }
     if let Some((told, changes)) = message.servers {
         let changes: Result<Vec<ServerChange>, _> =
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use http::{Request, Response, StatusCode};
+use http::{Request, Response, StatusCode, Uri};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -107,28 +107,40 @@
     }
 }
 
-/// Serves pages: `page` makes the text of a path, or says that there is none.
+/// Serves pages on at most `max` connections at a time: `page` makes the answer to a target, or says that there
+/// is none. One connection more is closed at once.
 pub async fn serve_pages(
     gw: Rc<Gateway>,
     listener: TcpListener,
-    page: impl Fn(&str) -> Option<(StatusCode, String)> + Clone + 'static,
+    max: usize,
+    page: impl Fn(&Uri) -> Option<Answer> + Clone + 'static,
 ) {
+    let open = Rc::new(());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let page = page.clone();
+        if Rc::strong_count(&open) > max {
+            gw.telemetry.count("pages.refused", 1);
+            continue;
+        }
+        let (page, is_open) = (page.clone(), open.clone());
+        let of_connection = gw.clone();
         gw.spawn(async move {
+            if let Err(e) = with_timeouts(&stream) {
+                of_connection.telemetry.warn("connection_options", &[("why", &e)]);
+                return;
+            }
             let service = service_fn(|req: Request<Incoming>| {
-                let (status, text) = page(req.uri().path())
-                    .unwrap_or_else(|| (StatusCode::NOT_FOUND, String::new()));
-                let res: Answer = text_answer(status, text);
+                let none = || text_answer(StatusCode::NOT_FOUND, "");
+                let res = page(req.uri()).unwrap_or_else(none);
                 std::future::ready(Ok::<_, Infallible>(res))
             });
             let conn = http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
             // Whoever asked for the page sees that it did not come.
             conn.await.ok();
+            drop(is_open);
         });
     }
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -44,6 +44,8 @@
     pub urgency: UrgencyPolicy,
     /// How often the store's feeds are read.
     pub feeds: FeedPeriods,
+    /// Bytes of the operator's newest records that are taken from another gateway.
+    pub max_orders: usize,
 }
 
 impl GatewaySettings {
@@ -76,6 +78,7 @@
             sizes: SizePolicy::default(),
             urgency: UrgencyPolicy::default(),
             feeds: FeedPeriods::default(),
+            max_orders: 16 * 1024 * 1024,
         }
     }
 }
