--- a/gateway/src/exchange/beliefs.rs
+++ b/gateway/src/exchange/beliefs.rs
@@ -5,7 +5,7 @@
 use redwingfold_core::{FeedTold, Millis};
 
 use super::image::{Orders, Record};
-use crate::feeds::Feed;
+use crate::feeds::{Feed, Reach};
 use crate::gateway::Gateway;
 
 impl Gateway {
@@ -17,12 +17,13 @@
     /// that it brought the newest record of each key.
     pub fn read_orders(&self, records: &[Record], is_all: bool, next: u64, began: Millis) {
         self.with_orders(|orders| orders.read(records, is_all, next, began));
-        self.know_orders(next, began);
+        self.with_feeds(|feeds| feeds.know_orders(began, next, Reach::All));
+        self.news.notify(usize::MAX);
     }
 
-    /// Notes how far the operator's topic is known, and has the other gateways told.
-    pub fn know_orders(&self, next: u64, as_of: Millis) {
-        self.with_feeds(|feeds| feeds.read_orders(as_of, next));
+    /// Notes that the operator's topic is known up to an offset from another gateway.
+    pub fn heard_orders(&self, next: u64, as_of: Millis) {
+        self.with_feeds(|feeds| feeds.know_orders(as_of, next, Reach::Few));
         self.news.notify(usize::MAX);
     }
 
@@ -49,8 +50,10 @@
         }
     }
 
+    /// Returns the offset up to which the operator's topic is known. It stands also while the store no longer
+    /// keeps what comes next: a gateway that knows less must not be asked then.
     pub(super) fn orders_next(&self) -> Option<u64> {
-        self.with_feeds(|feeds| feeds.next(Feed::Orders))
+        self.with_orders(|orders| orders.next())
     }
 
     pub(super) fn lead(&self) -> Option<SocketAddr> {
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -13,6 +13,16 @@
     Servers,
 }
 
+/// Who is told of orders.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Reach {
+    /// All gateways: somebody has read the store, so that they need not.
+    All,
+    /// A few, who have one more to ask: all know already that somebody has read it, and that one cannot
+    /// serve all of them at once.
+    Few,
+}
+
 /// Something that changed in the list of backend servers.
 #[derive(Clone, Debug, PartialEq)]
 pub enum ServerChange {
@@ -51,7 +61,7 @@
     servers: FeedView,
     /// Changes of servers, from own reads and from others' messages.
     past: FeedPast<ServerChange>,
-    untold_orders: Option<(FeedTold, Millis)>,
+    untold_orders: Option<(FeedTold, Millis, Reach)>,
     untold_servers: Option<(u64, Millis)>,
 }
 
@@ -100,10 +110,10 @@
         self.view(feed).lose();
     }
 
-    /// Takes an own read of orders that began at `began`.
-    pub(crate) fn read_orders(&mut self, began: Millis, next: u64) {
-        self.orders.read(began, next, fastrand::u64(..));
-        self.untold_orders = Some((FeedTold { from: next, next, age: Millis(0) }, began));
+    /// Takes what is known of orders as of `as_of`, and tells as many others as `reach` says.
+    pub(crate) fn know_orders(&mut self, as_of: Millis, next: u64, reach: Reach) {
+        self.orders.read(as_of, next, fastrand::u64(..));
+        self.untold_orders = Some((FeedTold { from: next, next, age: Millis(0) }, as_of, reach));
     }
 
     /// Takes an own read of servers that began at `began`, with what it changed.
@@ -137,9 +147,9 @@
     }
 
     /// Returns what the others have not been told of orders.
-    pub(crate) fn take_orders(&mut self, now: Millis) -> Option<FeedTold> {
-        let (told, began) = self.untold_orders.take()?;
-        Some(FeedTold { age: now.since(began), ..told })
+    pub(crate) fn take_orders(&mut self, now: Millis) -> Option<(FeedTold, Reach)> {
+        let (told, as_of, reach) = self.untold_orders.take()?;
+        Some((FeedTold { age: now.since(as_of), ..told }, reach))
     }
 
     /// Returns what the others have not been told of servers.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -13,7 +13,7 @@
 use smol::net::UdpSocket;
 
 use crate::clock::{sleep, within};
-use crate::feeds::ServerChange;
+use crate::feeds::{Reach, ServerChange};
 use crate::gateway::Gateway;
 use crate::peer_message::{PeerMessage, RolloutWire};
 use crate::rollout_news::RolloutNews;
@@ -47,6 +47,10 @@
 /// Routes in a message on a roll-out: each takes up to 55 bytes, and names the rest.
 const MAX_ROUTES: usize = 20;
 
+/// Gateways that are told of what was fetched from another one. With eight each, all of some hundreds have
+/// somebody to ask after three rounds.
+const FEW: usize = 8;
+
 /// Largest datagram that passes common links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -124,9 +128,12 @@
     async fn tell_news(&mut self) {
         let is_urgent = self.gw.with_rollouts(|r| r.take_urgent());
         let rollouts = if is_urgent { rollout_messages(&self.gw) } else { Vec::new() };
-        let messages = std::iter::once(feed_message(&self.gw)).chain(rollouts);
-        for message in messages.filter(|message| !message.is_empty()) {
-            let present = self.present();
+        let (feeds, reach) = feed_message(&self.gw);
+        let feeds = (feeds, if reach == Reach::Few { FEW } else { usize::MAX });
+        let messages = std::iter::once(feeds).chain(rollouts.into_iter().map(|m| (m, usize::MAX)));
+        for (message, most) in messages.filter(|(message, _)| !message.is_empty()) {
+            let mut present = self.present();
+            present.truncate(most);
             self.tell(message, &present, 0).await;
         }
     }
@@ -176,14 +183,20 @@
     }
 }
 
-fn feed_message(gw: &Gateway) -> PeerMessage {
+/// Makes the message on the feeds of the store, and says who is told.
+fn feed_message(gw: &Gateway) -> (PeerMessage, Reach) {
     let now = gw.now();
-    gw.with_feeds(|feeds| PeerMessage {
-        orders: feeds.take_orders(now).map(Into::into),
-        servers: feeds
-            .take_servers(now)
-            .map(|(told, changes)| (told.into(), changes.iter().map(Into::into).collect())),
-        ..PeerMessage::default()
+    gw.with_feeds(|feeds| {
+        let orders = feeds.take_orders(now);
+        let servers = feeds.take_servers(now);
+        let reach = match (&orders, &servers) {
+            (Some((_, reach)), None) => *reach,
+            _ => Reach::All,
+        };
+        let servers =
+            servers.map(|(told, changes)| (told.into(), changes.iter().map(Into::into).collect()));
+        let orders = orders.map(|(told, _)| told.into());
+        (PeerMessage { orders, servers, ..PeerMessage::default() }, reach)
     })
 }
 
