fix(gateway): fetch the list of servers from others while the store turns a host away

A message between gateways tells a dozen changes of servers; of more it says that there are some, and who cannot read the store stays behind. Change: while its reads of the servers' topic fail, a gateway asks one that is ahead for the whole list, some 30 bytes a server. The registry compares a list with what it knows in one pass in place of one for each server.

--- a/core/src/serving/registry.rs
+++ b/core/src/serving/registry.rs
@@ -1,6 +1,6 @@
 //! Which backend servers exist, from a store that may be away.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use super::catalog::{BackendId, ServiceName};
@@ -143,8 +143,8 @@
     /// assert_eq!(registry.servers(Millis(0)).count(), 0);
     /// ```
     pub fn replace(&mut self, servers: Vec<BackendServer>, now: Millis) -> Vec<BackendId> {
-        let missing = |id: &&BackendId| !servers.iter().any(|server| server.id == **id);
-        let gone: Vec<_> = self.servers.keys().filter(missing).cloned().collect();
+        let listed: HashSet<&BackendId> = servers.iter().map(|server| &server.id).collect();
+        let gone: Vec<_> = self.servers.keys().filter(|id| !listed.contains(id)).cloned().collect();
         for id in gone {
             self.remove(&id, now);
         }
--- a/gateway/src/exchange/beliefs.rs
+++ b/gateway/src/exchange/beliefs.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use redwingfold_core::{FeedTold, Millis};
+use redwingfold_core::{FeedTold, Leads, Millis};
 
 use super::image::{Orders, Record};
 use crate::feeds::{Feed, Reach};
@@ -29,17 +29,21 @@
 
     /// Takes another gateway's word on how far it knows the operator's topic.
     pub(crate) fn hear_orders(&self, from: SocketAddr, told: FeedTold) {
-        let now = self.now();
-        self.with_feeds(|feeds| feeds.hear_orders(told, now));
-        self.leads.borrow_mut().heard(from, told.next, now);
-        if self.is_behind() {
+        self.with_feeds(|feeds| feeds.hear_orders(told, self.now()));
+        self.note_lead(Feed::Orders, from, told.next);
+    }
+
+    /// Notes that another gateway knows a feed up to an offset.
+    pub(crate) fn note_lead(&self, feed: Feed, gateway: SocketAddr, next: u64) {
+        self.with_leads(feed, |leads| leads.heard(gateway, next, self.now()));
+        if self.lead(feed).is_some() {
             self.ahead.notify(usize::MAX);
         }
     }
 
     /// Says whether another gateway is known to know more of the operator's topic.
     pub fn is_behind(&self) -> bool {
-        self.lead().is_some()
+        self.lead(Feed::Orders).is_some()
     }
 
     /// Shows on the metrics page how old this gateway's knowledge of the operator's topic is.
@@ -56,11 +60,23 @@
         self.with_orders(|orders| orders.next())
     }
 
-    pub(super) fn lead(&self) -> Option<SocketAddr> {
-        self.leads.borrow().pick(self.orders_next(), fastrand::u64(..), self.now())
+    /// Picks a gateway that knows more of a feed.
+    pub(super) fn lead(&self, feed: Feed) -> Option<SocketAddr> {
+        let own = match feed {
+            Feed::Orders => self.orders_next(),
+            Feed::Servers => self.with_feeds(|feeds| feeds.next(feed)),
+        };
+        self.with_leads(feed, |leads| leads.pick(own, fastrand::u64(..), self.now()))
     }
 
-    pub(super) fn lead_failed(&self, gateway: SocketAddr) {
-        self.leads.borrow_mut().failed(gateway, self.now());
+    pub(super) fn lead_failed(&self, feed: Feed, gateway: SocketAddr) {
+        self.with_leads(feed, |leads| leads.failed(gateway, self.now()));
+    }
+
+    fn with_leads<T>(&self, feed: Feed, f: impl FnOnce(&mut Leads<SocketAddr>) -> T) -> T {
+        match feed {
+            Feed::Orders => f(&mut self.orders_leads.borrow_mut()),
+            Feed::Servers => f(&mut self.servers_leads.borrow_mut()),
+        }
     }
 }
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -1,5 +1,6 @@
 //! Asking a gateway that knows more.
 
+use std::fmt::Display;
 use std::net::SocketAddr;
 
 use bytes::Bytes;
@@ -9,7 +10,9 @@
 
 use super::image::{Offer, Record, Unfit};
 use super::page::Ask;
+use super::servers;
 use crate::clock::within;
+use crate::feeds::Feed;
 use crate::gateway::Gateway;
 use crate::upstream::Caller;
 
@@ -39,18 +42,16 @@
     let mut have = gw.with_orders(|orders| orders.digest());
     loop {
         let ahead = gw.ahead.listen();
-        let Some(gateway) = gw.lead() else {
+        let Some(gateway) = gw.lead(Feed::Orders) else {
             within(LOOK_EVERY, ahead).await;
             continue;
         };
         match ask(gw, gateway, have).await {
             Ok(Some(fetched)) => return fetched,
             // It knows no more than this gateway, which has learnt something meanwhile.
-            Ok(None) => gw.lead_failed(gateway),
+            Ok(None) => gw.lead_failed(Feed::Orders, gateway),
             Err(why) => {
-                gw.lead_failed(gateway);
-                gw.telemetry.count("orders.not_passed_on", 1);
-                gw.telemetry.debug("orders_not_passed_on", &[("from", &gateway), ("why", &why)]);
+                not_passed_on(gw, Feed::Orders, gateway, &why);
                 // The next one is asked for all, in case this gateway's own image is at fault.
                 have = None;
             }
@@ -58,6 +59,52 @@
     }
 }
 
+/// Waits until another gateway knows more of the backend servers and has said what, and takes it.
+///
+/// It never ends without. Meant for a gateway that cannot read the store: in calm times the changes that
+/// gateways tell each other are shorter than the list.
+pub async fn fetch_servers(gw: &Gateway) {
+    loop {
+        let ahead = gw.ahead.listen();
+        let Some(gateway) = gw.lead(Feed::Servers) else {
+            within(LOOK_EVERY, ahead).await;
+            continue;
+        };
+        match ask_servers(gw, gateway).await {
+            Ok(true) => return,
+            Ok(false) => gw.lead_failed(Feed::Servers, gateway),
+            Err(why) => not_passed_on(gw, Feed::Servers, gateway, &why),
+        }
+    }
+}
+
+fn not_passed_on(gw: &Gateway, feed: Feed, gateway: SocketAddr, why: &str) {
+    gw.lead_failed(feed, gateway);
+    gw.telemetry.count("feed.not_passed_on", 1);
+    let feed = format!("{feed:?}").to_lowercase();
+    let pairs: [(&str, &dyn Display); 3] = [("feed", &feed), ("from", &gateway), ("why", &why)];
+    gw.telemetry.debug("feed_not_passed_on", &pairs);
+}
+
+async fn ask_servers(gw: &Gateway, gateway: SocketAddr) -> Result<bool, String> {
+    let began = gw.now();
+    let next = gw.with_feeds(|feeds| feeds.next(Feed::Servers));
+    let max = gw.settings.max_orders;
+    let Some(body) = get(gw, gateway, &servers::target(next), max).await? else {
+        return Ok(false);
+    };
+    let list = servers::List::read(&body, max).map_err(|e| e.to_string())?;
+    let as_of = Millis(began.0.saturating_sub(list.age));
+    gw.telemetry.info(
+        "servers_heard",
+        &[("from", &gateway), ("next", &list.next), ("age_ms", &list.age), ("bytes", &body.len())],
+    );
+    let next = list.next;
+    gw.replace_servers(list.servers()?);
+    gw.with_feeds(|feeds| feeds.know_servers(as_of, next));
+    Ok(true)
+}
+
 async fn ask(
     gw: &Gateway,
     gateway: SocketAddr,
@@ -66,8 +113,7 @@
     let began = gw.now();
     let ask = Ask { have, next: gw.orders_next() };
     let max = gw.settings.max_orders;
-    let body = get(gw, gateway, ask, max).await?;
-    let Some(body) = body else { return Ok(None) };
+    let Some(body) = get(gw, gateway, &ask.target(), max).await? else { return Ok(None) };
     let offer: Offer = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
     // What the answer took is counted as its age, too: the store may have moved on meanwhile.
     let as_of = Millis(began.0.saturating_sub(offer.age));
@@ -94,12 +140,12 @@
 async fn get(
     gw: &Gateway,
     gateway: SocketAddr,
-    ask: Ask,
+    target: &str,
     max: usize,
 ) -> Result<Option<Bytes>, String> {
     let connected = Caller::connect(&gw.executor, gateway, gw.settings.connect_timeout).await;
     let mut caller = connected.map_err(|e| e.to_string())?;
-    let req = Request::get(ask.target()).header("host", gateway.to_string());
+    let req = Request::get(target).header("host", gateway.to_string());
     let req = req.body(Full::default()).map_err(|e| e.to_string())?;
     let mut reading = caller.begin(req, max, SILENCE).await.map_err(|e| e.to_string())?;
     let body = reading.whole().await.map_err(|e| e.to_string())?;
--- a/gateway/src/exchange/page.rs
+++ b/gateway/src/exchange/page.rs
@@ -5,7 +5,9 @@
 use http::{Response, StatusCode, Uri};
 
 use super::image::Digest;
+use super::servers::{self, List};
 use crate::answer::{Answer, text_answer, whole_body};
+use crate::feeds::Feed;
 use crate::gateway::Gateway;
 
 pub(super) const PATH: &str = "/orders";
@@ -32,18 +34,32 @@
     }
 }
 
-/// Makes the page of what a gateway knows of the operator's topic.
-pub fn orders_page(gw: Rc<Gateway>) -> impl Fn(&Uri) -> Option<Answer> + Clone {
+/// Makes the pages of what a gateway knows of the store's feeds.
+pub fn feed_pages(gw: Rc<Gateway>) -> impl Fn(&Uri) -> Option<Answer> + Clone {
     move |uri| {
-        (uri.path() == PATH).then(|| {
-            let ask = Ask::read(uri.query().unwrap_or_default());
-            let offer = gw.with_orders(|orders| orders.offer(ask.have, ask.next, gw.now()));
-            let Some(bytes) = offer.and_then(|offer| postcard::to_stdvec(&offer).ok()) else {
-                return text_answer(StatusCode::NO_CONTENT, "");
-            };
-            gw.telemetry.count("orders.passed_on", 1);
-            gw.telemetry.count("orders.passed_on_bytes", bytes.len() as i64);
-            Response::new(whole_body(bytes))
-        })
+        let ask = Ask::read(uri.query().unwrap_or_default());
+        let bytes = match uri.path() {
+            PATH => {
+                let offer = gw.with_orders(|orders| orders.offer(ask.have, ask.next, gw.now()));
+                offer.and_then(|offer| postcard::to_stdvec(&offer).ok())
+            }
+            servers::PATH => servers_known(&gw, ask.next).and_then(|list| list.write()),
+            _ => return None,
+        };
+        let Some(bytes) = bytes else {
+            return Some(text_answer(StatusCode::NO_CONTENT, ""));
+        };
+        gw.telemetry.count("feed.passed_on", 1);
+        gw.telemetry.count("feed.passed_on_bytes", bytes.len() as i64);
+        Some(Response::new(whole_body(bytes)))
     }
 }
+
+/// Returns the servers for a gateway that knows them up to an offset, unless that is all that is known here.
+fn servers_known(gw: &Gateway, next: Option<u64>) -> Option<List> {
+    let (known, as_of) =
+        gw.with_feeds(|feeds| (feeds.next(Feed::Servers), feeds.as_of(Feed::Servers)));
+    let (known, now) = (known.filter(|known| next.is_none_or(|next| next < *known))?, gw.now());
+    let age = now.since(as_of?).0;
+    Some(gw.with_registry(|registry| List::new(known, age, registry.servers(now))))
+}
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -124,6 +124,12 @@
         self.untold_servers = Some((next, began));
     }
 
+    /// Takes the whole list of servers as of `as_of`; what changed until then cannot be told.
+    pub(crate) fn know_servers(&mut self, as_of: Millis, next: u64) {
+        self.servers.lose();
+        self.read_servers(as_of, next, Vec::new());
+    }
+
     /// Takes a message on orders; `true` if some were missed.
     pub(crate) fn hear_orders(&mut self, told: FeedTold, now: Millis) -> bool {
         self.orders.hear(told, now, fastrand::u64(..)) == FeedHeard::Missed
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -63,8 +63,10 @@
     feeds: RefCell<Feeds>,
     pub(crate) orders: RefCell<Orders>,
     /// Other gateways that told how far they know the operator's topic.
-    pub(crate) leads: RefCell<Leads<SocketAddr>>,
-    /// Another gateway knows more of it.
+    pub(crate) orders_leads: RefCell<Leads<SocketAddr>>,
+    /// The same for backend servers.
+    pub(crate) servers_leads: RefCell<Leads<SocketAddr>>,
+    /// Another gateway knows more of one of them.
     pub(crate) ahead: Event,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     pub(crate) rates: RefCell<ReadRates>,
@@ -110,7 +112,8 @@
             rollouts: RefCell::new(rollouts),
             feeds: RefCell::new(feeds),
             orders: RefCell::default(),
-            leads: RefCell::default(),
+            orders_leads: RefCell::default(),
+            servers_leads: RefCell::default(),
             ahead: Event::new(),
             budgets: RefCell::default(),
             rates: RefCell::default(),
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -9,11 +9,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use redwingfold_core::{ByteBudget, Millis};
+use redwingfold_core::{ByteBudget, FeedTold, Millis};
 use smol::net::UdpSocket;
 
 use crate::clock::{sleep, within};
-use crate::feeds::{Reach, ServerChange};
+use crate::feeds::{Feed, Reach, ServerChange};
 use crate::gateway::Gateway;
 use crate::peer_message::{PeerMessage, RolloutWire};
 use crate::rollout_news::RolloutNews;
@@ -257,8 +257,10 @@
             changes.into_iter().map(TryInto::try_into).collect();
         match changes {
             Ok(changes) => {
+                let next = FeedTold::from(told).next;
                 let heard = gw.with_feeds(|feeds| feeds.hear_servers(told.into(), changes, now));
                 gw.take_changes(heard);
+                gw.note_lead(Feed::Servers, from, next);
             }
             Err(_) => gw.telemetry.count("peers.unreadable", 1),
         }
