--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -26,6 +26,23 @@
     pub retry_after: Option<u64>,
 }
 
+/// How long a call may take.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Bound {
+    /// So long without a byte, and as long as the bytes need.
+    Silence(Duration),
+    /// So long in all.
+    Whole(Duration),
+}
+
+impl Bound {
+    fn span(self) -> Duration {
+        match self {
+            Self::Silence(span) | Self::Whole(span) => span,
+        }
+    }
+}
+
 /// Why a call has no answer.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum CallError {
@@ -117,7 +134,7 @@
         addr: SocketAddr,
         target: &str,
         body: Option<Vec<u8>>,
-        timeout: Duration,
+        bound: Bound,
         max_body: usize,
     ) -> Result<Answer, CallError> {
         let url = Url::parse(&format!("http://{addr}{target}"))
@@ -127,7 +144,7 @@
             req.set_body(body);
             req.insert_header(headers::CONTENT_TYPE, "application/json");
         }
-        self.send(addr, req, timeout, max_body).await
+        self.send(addr, req, bound, max_body).await
     }
 
     /// Sends a request and reads the whole answer.
@@ -142,15 +159,15 @@
         &self,
         addr: SocketAddr,
         req: Request,
-        timeout: Duration,
+        bound: Bound,
         max_body: usize,
     ) -> Result<Answer, CallError> {
         let stream = match self.take_idle(addr) {
             Some(stream) => stream,
-            None => connect(addr, timeout).await?,
+            None => connect(addr, bound.span()).await?,
         };
         let late = async {
-            Timer::after(timeout).await;
+            Timer::after(bound.span()).await;
             Err(CallError::Unknown("timeout".to_owned()))
         };
         let (answer, reusable) = exchange(stream.clone(), req, max_body).or(late).await?;
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -6,7 +6,7 @@
 mod server;
 
 pub use body::{BodySender, channel_body};
-pub use client::{Answer, CallError, Client, open_stream};
+pub use client::{Answer, Bound, CallError, Client, open_stream};
 pub use conn::Peer;
 pub use server::{Drain, Limits, Refusal, refusal, serve};
 
--- /dev/null
+++ b/http/tests/slow_answers.rs
@@ -0,0 +1,57 @@
+//! Calls whose answers take longer than a server may be silent.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::Duration;
+
+use redwingfold_http::{Bound, CallError, Client, Method};
+
+const MAX: usize = 1024 * 1024;
+const SILENCE: Duration = Duration::from_millis(400);
+const PIECE: [u8; 1024] = [b'x'; 1024];
+
+/// Starts a server that answers one call with some pieces, with a pause before each, and then is silent until the
+/// other end closes.
+fn server(pieces: usize, of: usize, pause: Duration) -> SocketAddr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let addr = listener.local_addr().unwrap();
+    std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        let mut buf = [0; 1024];
+        while !buf.windows(4).any(|end| end == b"\r\n\r\n") {
+            stream.read(&mut buf).unwrap();
+        }
+        write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", of * PIECE.len()).unwrap();
+        for _ in 0..pieces {
+            std::thread::sleep(pause);
+            if stream.write_all(&PIECE).is_err() {
+                return;
+            }
+        }
+        stream.read(&mut buf).ok();
+    });
+    addr
+}
+
+fn read(addr: SocketAddr, bound: Bound) -> Result<usize, CallError> {
+    let client = Client::default();
+    let call = client.call(Method::Get, addr, "/records", None, bound, MAX);
+    smol::block_on(call).map(|answer| answer.body.len())
+}
+
+/// A page of the log comes over a slow link for longer than the log may be silent. With a bound on the whole call
+/// it is given up and asked for again from its start, and an entry behind that link never gets it.
+#[test]
+fn page_that_takes_longer_than_the_timeout_is_read() {
+    let addr = server(30, 30, Duration::from_millis(40));
+    assert_eq!(read(addr, Bound::Silence(SILENCE)), Ok(30 * PIECE.len()));
+}
+
+/// The log stops in the middle of a page: the call ends. So does one that is bounded as a whole, such as a call
+/// that somebody waits for, though bytes still come.
+#[test]
+fn silent_server_is_given_up() {
+    let unknown = |read: Result<usize, CallError>| matches!(read, Err(CallError::Unknown(_)));
+    assert!(unknown(read(server(3, 30, Duration::ZERO), Bound::Silence(SILENCE))));
+    assert!(unknown(read(server(300, 300, Duration::from_millis(40)), Bound::Whole(SILENCE))));
+}
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{Millis, Offset, RequestId, VersionName};
-use redwingfold_http::{CallError, Client, Method, Request, Url};
+use redwingfold_http::{Bound, CallError, Client, Method, Request, Url};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -25,7 +25,14 @@
 
 /// Asks an engine for its load.
 pub(crate) async fn engine_load(http: &Client, addr: SocketAddr) -> Result<EngineLoad, String> {
-    let call = http.call(Method::Get, addr, "/v1/load", None, span(LOAD_TIMEOUT), MAX_LOAD_BYTES);
+    let call = http.call(
+        Method::Get,
+        addr,
+        "/v1/load",
+        None,
+        Bound::Whole(span(LOAD_TIMEOUT)),
+        MAX_LOAD_BYTES,
+    );
     match call.await {
         Ok(answer) if answer.is_success() => answer.json().map_err(|e| e.to_string()),
         Ok(answer) => Err(format!("status {}", answer.status)),
@@ -59,7 +66,14 @@
 ) -> Ordered {
     let body = serde_json::to_vec(&Order { fencing, versions }).unwrap_or_default();
     let target = "/v1/orders";
-    let call = http.call(Method::Post, addr, target, Some(body), span(timeout), MAX_LOAD_BYTES);
+    let call = http.call(
+        Method::Post,
+        addr,
+        target,
+        Some(body),
+        Bound::Whole(span(timeout)),
+        MAX_LOAD_BYTES,
+    );
     match call.await {
         Ok(answer) if answer.is_success() => Ordered::Taken,
         Ok(answer) if answer.status == STATUS_CONFLICT => Ordered::Fenced,
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{Millis, Offset};
-use redwingfold_http::{CallError, Client, Method};
+use redwingfold_http::{Bound, CallError, Client, Method};
 use serde::Deserialize;
 
 use crate::clock::span;
@@ -133,7 +133,14 @@
         body: Option<Vec<u8>>,
         timeout: Millis,
     ) -> Result<redwingfold_http::Answer, LogError> {
-        let call = self.http.call(method, self.addr, target, body, span(timeout), MAX_PAGE_BYTES);
+        let call = self.http.call(
+            method,
+            self.addr,
+            target,
+            body,
+            Bound::Whole(span(timeout)),
+            MAX_PAGE_BYTES,
+        );
         let refused = |why: String, retry_after| Err(LogError::Refused { why, retry_after });
         match call.await {
             Ok(answer) if answer.is_success() => Ok(answer),
--- a/src/platform/rating.rs
+++ b/src/platform/rating.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{Millis, PerMille, VersionName};
-use redwingfold_http::{Client, Method};
+use redwingfold_http::{Bound, Client, Method};
 use serde::{Deserialize, Serialize};
 
 use crate::clock::span;
@@ -30,7 +30,14 @@
     timeout: Millis,
 ) -> Option<PerMille> {
     let body = serde_json::to_vec(&RateRequest { version, answer }).ok()?;
-    let call = http.call(Method::Post, addr, "/v1/rate", Some(body), span(timeout), MAX_BYTES);
+    let call = http.call(
+        Method::Post,
+        addr,
+        "/v1/rate",
+        Some(body),
+        Bound::Whole(span(timeout)),
+        MAX_BYTES,
+    );
     let answer = call.await.ok().filter(redwingfold_http::Answer::is_success)?;
     answer.json::<RateAnswer>().ok().map(|a| a.score)
 }
