fix(http): bound the silence of the log in place of a whole page

Change: a read of the log is bounded by the time without a byte; all other calls, which somebody waits for, stay bounded as a whole.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -15,6 +15,9 @@
 /// Idle connections kept for one server.
 const MAX_IDLE: usize = 64;
 
+/// Bytes of a body that are read at a time.
+const READ_BYTES: usize = 16 * 1024;
+
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub struct Answer {
@@ -166,11 +169,11 @@
             Some(stream) => stream,
             None => connect(addr, bound.span()).await?,
         };
-        let late = async {
-            Timer::after(bound.span()).await;
-            Err(CallError::Unknown("timeout".to_owned()))
+        let exchanged = exchange(stream.clone(), req, max_body, bound);
+        let (answer, reusable) = match bound {
+            Bound::Silence(_) => exchanged.await?,
+            Bound::Whole(span) => exchanged.or(late(span)).await?,
         };
-        let (answer, reusable) = exchange(stream.clone(), req, max_body).or(late).await?;
         if reusable {
             self.put_idle(addr, stream);
         }
@@ -201,20 +204,34 @@
     }
 }
 
+async fn late<T>(span: Duration) -> Result<T, CallError> {
+    Timer::after(span).await;
+    Err(CallError::Unknown("timeout".to_owned()))
+}
+
 async fn exchange(
     stream: TcpStream,
     req: Request,
     max_body: usize,
+    bound: Bound,
 ) -> Result<(Answer, bool), CallError> {
     let unknown = |e: String| CallError::Unknown(e);
-    let mut res = async_h1::connect(stream, req).await.map_err(|e| unknown(e.to_string()))?;
+    let begun = async { async_h1::connect(stream, req).await.map_err(|e| unknown(e.to_string())) };
+    let mut res = begun.or(late(bound.span())).await?;
     let length = res.header(headers::CONTENT_LENGTH).and_then(|v| v.as_str().parse::<usize>().ok());
     let closes = res.header(headers::CONNECTION).is_some_and(|v| v.as_str() == "close");
     let retry_after = res.header(headers::RETRY_AFTER).and_then(|v| v.as_str().parse().ok());
-    let mut body = Vec::new();
     let limit = max_body as u64 + 1;
-    let reader = res.take_body().into_reader();
-    reader.take(limit).read_to_end(&mut body).await.map_err(|e| unknown(e.to_string()))?;
+    let mut reader = res.take_body().into_reader().take(limit);
+    let mut body = Vec::new();
+    let mut buf = vec![0; READ_BYTES];
+    loop {
+        let more = async { reader.read(&mut buf).await.map_err(|e| unknown(e.to_string())) };
+        match more.or(late(bound.span())).await? {
+            0 => break,
+            len => body.extend_from_slice(&buf[..len]),
+        }
+    }
     match length {
         _ if body.len() > max_body => return Err(CallError::TooLarge),
         Some(length) if length != body.len() => return Err(unknown("answer was cut".to_owned())),
--- a/http/tests/slow_answers.rs
+++ b/http/tests/slow_answers.rs
@@ -17,9 +17,11 @@
     let addr = listener.local_addr().unwrap();
     std::thread::spawn(move || {
         let (mut stream, _) = listener.accept().unwrap();
-        let mut buf = [0; 1024];
-        while !buf.windows(4).any(|end| end == b"\r\n\r\n") {
-            stream.read(&mut buf).unwrap();
+        let mut head = Vec::new();
+        let mut byte = [0];
+        while !head.ends_with(b"\r\n\r\n") {
+            stream.read_exact(&mut byte).unwrap();
+            head.extend(byte);
         }
         write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", of * PIECE.len()).unwrap();
         for _ in 0..pieces {
@@ -28,7 +30,7 @@
                 return;
             }
         }
-        stream.read(&mut buf).ok();
+        stream.read_exact(&mut byte).ok();
     });
     addr
 }
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -104,7 +104,8 @@
     /// append without a clear answer took effect.
     pub(crate) async fn append(&self, stream: &str, record: Vec<u8>) -> Result<Offset, LogError> {
         let target = format!("/streams/{stream}/append");
-        let answer = self.call(Method::Post, &target, Some(record), self.timeout).await?;
+        let bound = Bound::Whole(span(self.timeout));
+        let answer = self.call(Method::Post, &target, Some(record), bound).await?;
         answer
             .json::<AppendAnswer>()
             .map(|a| a.offset)
@@ -120,8 +121,10 @@
         wait: Millis,
     ) -> Result<LogPage, LogError> {
         let target = format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait}");
-        let timeout = self.timeout.after(wait);
-        let answer = self.call(Method::Get, &target, None, timeout).await?;
+        // Bounded as a whole, a page that takes longer over a slow link would be asked for from its start again and
+        // again, and this process would stay where it is.
+        let bound = Bound::Silence(span(self.timeout.after(wait)));
+        let answer = self.call(Method::Get, &target, None, bound).await?;
         let page = answer.json::<PageAnswer>();
         page.map(LogPage::from).map_err(|e| LogError::Unknown(e.to_string()))
     }
@@ -131,16 +134,9 @@
         method: Method,
         target: &str,
         body: Option<Vec<u8>>,
-        timeout: Millis,
+        bound: Bound,
     ) -> Result<redwingfold_http::Answer, LogError> {
-        let call = self.http.call(
-            method,
-            self.addr,
-            target,
-            body,
-            Bound::Whole(span(timeout)),
-            MAX_PAGE_BYTES,
-        );
+        let call = self.http.call(method, self.addr, target, body, bound, MAX_PAGE_BYTES);
         let refused = |why: String, retry_after| Err(LogError::Refused { why, retry_after });
         match call.await {
             Ok(answer) if answer.is_success() => Ok(answer),
