fix(core): remember how far a lost feed was known

Cause: the offset of a feed that the store no longer keeps was forgotten, so that a gateway asked others for the list of servers that it had itself. The mend of that for the operator's topic looked at its records and left the servers' topic out. Change: the feed itself keeps the offset up to which it was ever known, for both topics.

--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -44,6 +44,8 @@
     /// Gateways that read this feed, this one included.
     fleet: usize,
     next: Option<u64>,
+    /// Offset up to which the feed was ever known.
+    reached: Option<u64>,
     fresh_at: Millis,
     patience: Millis,
 }
@@ -62,7 +64,14 @@
     /// assert!(!view.is_due(Millis(800)) && view.is_due(Millis(990)));
     /// ```
     pub fn new(period: Millis) -> Self {
-        Self { period, fleet: 1, next: None, fresh_at: Millis(0), patience: Millis(0) }
+        Self {
+            period,
+            fleet: 1,
+            next: None,
+            reached: None,
+            fresh_at: Millis(0),
+            patience: Millis(0),
+        }
     }
 
     /// Notes how many gateways read this feed, this one included.
@@ -75,6 +84,14 @@
         self.next
     }
 
+    /// Returns the offset up to which the feed was ever known; it stands also when the feed is lost.
+    ///
+    /// A gateway that has lost it asks only those that know more. With nothing to compare, two that knew the same
+    /// asked each other three times a second, and neither read the store's list for 20 s.
+    pub fn reached(&self) -> Option<u64> {
+        self.reached
+    }
+
     /// Returns as of when the feed was last known, if it ever was.
     ///
     /// That holds also while the next records cannot be read: an order that comes with the whole feed anew is
@@ -92,6 +109,7 @@
     /// Takes an own read that began at `began`; `draw` is a random number.
     pub fn read(&mut self, began: Millis, next: u64, draw: u64) {
         self.next = Some(next);
+        self.reached = self.reached.max(self.next);
         self.refresh(began, draw);
     }
 
@@ -112,6 +130,7 @@
             }
             Some(own) if own >= told.from => {
                 self.next = Some(told.next);
+                self.reached = self.reached.max(self.next);
                 self.refresh(as_of, draw);
                 FeedHeard::Applies
             }
--- a/gateway/src/exchange/beliefs.rs
+++ b/gateway/src/exchange/beliefs.rs
@@ -47,18 +47,9 @@
         self.lead(Feed::Orders).is_some()
     }
 
-    /// Returns the offset up to which the operator's topic is known. It stands also while the store no longer
-    /// keeps what comes next: a gateway that knows less must not be asked then.
-    pub(super) fn orders_next(&self) -> Option<u64> {
-        self.with_orders(|orders| orders.next())
-    }
-
     /// Picks a gateway that knows more of a feed.
     pub(super) fn lead(&self, feed: Feed) -> Option<SocketAddr> {
-        let own = match feed {
-            Feed::Orders => self.orders_next(),
-            Feed::Servers => self.with_feeds(|feeds| feeds.next(feed)),
-        };
+        let own = self.with_feeds(|feeds| feeds.reached(feed));
         self.with_leads(feed, |leads| leads.pick(own, fastrand::u64(..), self.now()))
     }
 
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -88,7 +88,7 @@
 
 async fn ask_servers(gw: &Gateway, gateway: SocketAddr) -> Result<bool, String> {
     let began = gw.now();
-    let next = gw.with_feeds(|feeds| feeds.next(Feed::Servers));
+    let next = gw.with_feeds(|feeds| feeds.reached(Feed::Servers));
     let max = gw.settings.max_orders;
     let Some(body) = get(gw, gateway, &servers::target(next), max).await? else {
         return Ok(false);
@@ -111,7 +111,7 @@
     have: Option<u64>,
 ) -> Result<Option<Fetched>, String> {
     let began = gw.now();
-    let ask = Ask { have, next: gw.orders_next() };
+    let ask = Ask { have, next: gw.with_feeds(|feeds| feeds.reached(Feed::Orders)) };
     let max = gw.settings.max_orders;
     let Some(body) = get(gw, gateway, &ask.target(), max).await? else { return Ok(None) };
     let offer: Offer = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
--- a/gateway/src/exchange/image.rs
+++ b/gateway/src/exchange/image.rs
@@ -115,11 +115,6 @@
         }
     }
 
-    /// Returns the offset up to which the records are known, if any are.
-    pub(super) fn next(&self) -> Option<u64> {
-        self.newest.as_ref().map(|_| self.next)
-    }
-
     fn image(&self, digest: Digest) -> Option<&Image> {
         self.earlier.iter().chain(&self.newest).find(|image| image.digest == digest)
     }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -95,6 +95,11 @@
         self.view(feed).next()
     }
 
+    /// Returns the offset up to which a feed was ever known.
+    pub(crate) fn reached(&mut self, feed: Feed) -> Option<u64> {
+        self.view(feed).reached()
+    }
+
     /// Returns as of when a feed is known, if it is known at all.
     pub fn as_of(&mut self, feed: Feed) -> Option<Millis> {
         self.view(feed).as_of()
