--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -74,7 +74,8 @@
 }
 
 impl Config {
-    fn json(&self) -> String {
+    /// Writes it as an operator does.
+    pub fn text(&self) -> String {
         let mut routes: Vec<_> = self.routes.iter().map(route_json).collect();
         routes.extend((0..self.idle_routes).map(idle_route_json));
         let tenants: Vec<_> =
@@ -181,7 +182,7 @@
 
     /// Publishes a configuration.
     pub fn publish(&self, config: &Config) {
-        self.store.put("keyed.op", "config", Some(&config.json()));
+        self.store.put("keyed.op", "config", Some(&config.text()));
     }
 
     /// Starts an engine and registers it.
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -85,10 +85,14 @@
 
     /// Writes a record as the operator or an engine would; without a value the key is dropped.
     pub fn put(&self, topic: &str, key: &str, value: Option<&str>) {
-        let mut record = vec![key.len() as u8];
-        record.extend_from_slice(key.as_bytes());
-        record.extend_from_slice(value.unwrap_or_default().as_bytes());
-        self.lock().append(topic, vec![record]);
+        self.lock().append(topic, vec![record(key, value.unwrap_or_default())]);
+        self.state.1.notify_all();
+    }
+
+    /// Writes records of one key, which come all at once however busy this host is.
+    pub fn put_all(&self, topic: &str, key: &str, values: &[String]) {
+        let records = values.iter().map(|value| record(key, value)).collect();
+        self.lock().append(topic, records);
         self.state.1.notify_all();
     }
 
@@ -286,6 +290,13 @@
     }
 }
 
+fn record(key: &str, value: &str) -> Vec<u8> {
+    let mut record = vec![key.len() as u8];
+    record.extend_from_slice(key.as_bytes());
+    record.extend_from_slice(value.as_bytes());
+    record
+}
+
 fn keyed(record: &[u8]) -> Option<(&str, &[u8])> {
     let (len, rest) = record.split_first()?;
     let (key, value) = rest.split_at_checked(usize::from(*len))?;
