test(soak): configurations of 400 kB over a slow way, and each gateway up to date in the end

Cause: no schedule of the soak had a configuration longer than 2 kB, a slow way to the store, or a look at which version is in force. Change: an option makes the configuration large and the way slow in calm times; after each play every gateway must have the newest version in force.

--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -31,6 +31,9 @@
     /// Callers at a time.
     #[arg(long, default_value_t = 12)]
     callers: usize,
+    /// Routes that make the configuration large, and the way to the store slow; each takes 200 bytes.
+    #[arg(long, default_value_t = 0)]
+    idle_routes: usize,
     /// The gateway's program; by default the one beside this one.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -55,6 +58,7 @@
             gateways: args.gateways,
             engines: args.engines,
             callers: args.callers,
+            idle_routes: args.idle_routes,
         };
         let outcome = play(&settings);
         println!(
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -117,8 +117,8 @@
 
 /// Lets all bytes through again.
 pub(crate) fn clear_ways(world: &World) {
-    let ways = world.fleet.engine_ways.values().chain(&world.fleet.store_way);
-    ways.for_each(|way| way.set_fault(LinkFault::None));
+    world.fleet.engine_ways.values().for_each(|way| way.set_fault(LinkFault::None));
+    world.fleet.store_way.iter().for_each(|way| way.set_fault(world.calm_way));
 }
 
 /// Length of a freeze.
@@ -176,6 +176,7 @@
         }
         Fault::Store(fault) => world.fleet.store.set_fault(fault),
         Fault::StoreWay(fault) => {
+            let fault = if fault == LinkFault::None { world.calm_way } else { fault };
             world.fleet.store_way.iter().for_each(|way| way.set_fault(fault));
         }
         Fault::EngineWay(n, fault) => {
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -26,6 +26,8 @@
     pub engines: usize,
     /// Callers that press on at a time.
     pub callers: usize,
+    /// Routes that make the configuration large; with any, the way to the store is slow in calm times, too.
+    pub idle_routes: usize,
 }
 
 /// What came of a play.
@@ -57,7 +59,7 @@
 ///
 /// If a process cannot be started.
 pub fn play(settings: &Settings) -> Outcome {
-    let mut world = World::start(&settings.program, settings.gateways, settings.engines);
+    let mut world = World::start(settings);
     let planned = schedule(settings.seed, settings.gateways, settings.length);
     let mut outcome = Outcome::default();
     let (stop, count) = (AtomicBool::new(false), AtomicU64::new(0));
@@ -91,6 +93,7 @@
     world.mishaps.any.store(0, Ordering::SeqCst);
     clear_ways(&world);
     outcome.broken.extend(recovers(&world));
+    outcome.broken.extend(is_up_to_date(&world));
     let mut seen = seen.into_inner().expect("no caller panics");
     let arrivals: Vec<_> = world.fleet.engines.iter().flat_map(Engine::arrivals).collect();
     let arrivals: Vec<_> = arrivals.into_iter().filter(|a| !a.id().starts_with("after")).collect();
@@ -145,6 +148,15 @@
 }
 
 /// After the last fault, each gateway serves again before long.
+/// Checks that each gateway comes to have the newest configuration in force.
+fn is_up_to_date(world: &World) -> Option<String> {
+    let version = world.config.version;
+    let line = format!("event=config_in_force version={version} ");
+    let mut gateways = world.fleet.gateways.iter();
+    let late = gateways.find_map(|g| g.process.wait_for_line(&line, RECOVERY).err());
+    late.map(|log| format!("version {version} is not in force after {RECOVERY:?}: {log}"))
+}
+
 fn recovers(world: &World) -> Option<String> {
     let begun = Instant::now();
     for n in 0..world.fleet.gateways.len() {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,12 +1,17 @@
 //! The fleet under test, and engines whose misbehaviour is drawn.
 
-use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
 
+use redwingfold_standins::LinkFault;
 use redwingfold_standins::platform::{Arrival, Config, Engine, Plan, PlatformFleet, StreamPlan};
 
+use crate::play::Settings;
+
+/// Bytes a second of a slow way to the store: a configuration of 400 kB takes a second.
+const SLOW_WAY: u64 = 400_000;
+
 /// Shares of an engine's answers that go wrong, in thousandths, for all engines of a kind.
 #[derive(Debug, Default)]
 pub(crate) struct Mishaps {
@@ -75,28 +80,33 @@
     pub(crate) fleet: PlatformFleet,
     pub(crate) mishaps: Arc<Mishaps>,
     pub(crate) config: Config,
+    /// How the way to the store is while nothing disturbs it.
+    pub(crate) calm_way: LinkFault,
     next_engine: u64,
 }
 
 impl World {
     /// Starts gateways and engines.
-    pub(crate) fn start(program: &Path, gateways: usize, engines: usize) -> Self {
-        let fleet = PlatformFleet::new(&program.display().to_string()).with_ways();
-        let mut config = Config::default();
+    pub(crate) fn start(settings: &Settings) -> Self {
+        let fleet = PlatformFleet::new(&settings.program.display().to_string()).with_ways();
+        let idle_routes = settings.idle_routes;
+        let calm_way = if idle_routes > 0 { LinkFault::Rate(SLOW_WAY) } else { LinkFault::None };
+        let mut config = Config { idle_routes, ..Config::default() };
         for (route, timeout) in [(0, 3_000), (1, 3_000), (2, 8_000), (3, 8_000)] {
             let more = config.routes[route].more.as_object_mut();
             more.map(|more| more.insert("timeout_ms".to_owned(), timeout.into()));
         }
         fleet.publish(&config);
-        let mut world = Self { fleet, mishaps: Arc::default(), config, next_engine: 0 };
-        for _ in 0..engines {
+        let mut world = Self { fleet, mishaps: Arc::default(), config, calm_way, next_engine: 0 };
+        for _ in 0..settings.engines {
             world.add_engine("plain", "v1");
             world.add_engine("models", "v1");
         }
-        (0..gateways).for_each(|_| {
+        (0..settings.gateways).for_each(|_| {
             world.fleet.start();
         });
-        (0..gateways).for_each(|n| world.fleet.wait_ready(n));
+        (0..settings.gateways).for_each(|n| world.fleet.wait_ready(n));
+        world.fleet.store_way.iter().for_each(|way| way.set_fault(world.calm_way));
         world
     }
 
