--- a/core/src/serving/patience.rs
+++ b/core/src/serving/patience.rs
@@ -12,7 +12,7 @@
 ///
 /// ```
 /// use redwingfold_core::{Millis, Patience};
-/// let mut patience = Patience::new(Millis(700), Millis(5_600));
+/// let mut patience = Patience::new(Millis(700), Millis(1_400));
 /// patience.was_in_vain();
 /// assert_eq!(patience.span(), Millis(1_400));
 /// patience.was_enough(Millis(20));
