test(core): bursts at the end of a roll-out's window, failing

Cause: a gateway sends all requests to the new version from some 90% of the window on, by the clock. The operator allows a share of the requests between order and deadline; a burst after that moment brings more than the share, and a version that shows no fault in its window gets all of it.

Change: the fleet of roll-outs in virtual time stands in a file of its own, with rates that change, gateways that start anew, lost messages, and all requests going to the target once the old version is given up. core/tests/exposure.rs plays bursts of 1.7 and 3 times, falling rates and restarts with 3, 28 and 103 gateways at 0.15 and 0.0975.

--- /dev/null
+++ b/core/tests/exposure.rs
@@ -0,0 +1,106 @@
+//! What a bad version gets that never shows its fault, whatever the rate of requests does.
+
+mod rollout_fleet;
+
+use redwingfold_core::Phase;
+use rollout_fleet::{Fleet, Kind, Played, Version, WINDOW};
+
+/// Shares of a service's requests that operators allow, and gateways with requests a second.
+const EXPOSURES: [f64; 2] = [0.15, 0.0975];
+const FLEETS: [(usize, u64); 3] = [(3, 150), (28, 300), (103, 800)];
+/// Requests beyond the share that operators allow.
+const SLACK: u64 = 30;
+
+const GOOD: Version = |_, _, _| 0.0;
+
+/// A rate that is multiplied by a factor at a time for good.
+fn jump(per_s: u64, at: u64, factor: f64) -> impl Fn(u64) -> u64 {
+    move |ms| if ms < at { per_s } else { (per_s as f64 * factor) as u64 }
+}
+
+fn part_of_window(percent: u64) -> u64 {
+    WINDOW * percent / 100
+}
+
+fn check(played: &Played, exposure: f64, what: &str) {
+    let allowed = (played.all as f64 * exposure) as u64 + SLACK;
+    let Played { to_target, all, .. } = played;
+    assert!(*to_target <= allowed, "{what}: {to_target} of {all}, {allowed} allowed");
+}
+
+fn for_each_fleet(mut f: impl FnMut(usize, u64, f64, u64)) {
+    for (gateways, per_s) in FLEETS {
+        for exposure in EXPOSURES {
+            let seeds = if gateways > 50 { 1 } else { 4 };
+            (0..seeds).for_each(|seed| f(gateways, per_s, exposure, seed));
+        }
+    }
+}
+
+/// Callers of a customer get answers of a bad version beyond the share that the operator allows. The
+/// version shows no fault in its window; all requests go to it from some 90% of the window on, by the
+/// clock; and just then a burst brings 1.7 or three times as many. A logged roll-out: `phase=ramp` at
+/// 14.5 s, `phase=full` at 15.6 s of a window that ends at 17.3 s, 416 of 2,414 requests, 392 allowed.
+#[test]
+fn burst_in_the_last_part_of_a_window_stays_within_the_exposure() {
+    for_each_fleet(|gateways, per_s, exposure, seed| {
+        for (percent, factor) in [(80, 1.7), (88, 1.7), (92, 1.7), (88, 3.0), (91, 3.0), (94, 3.0)]
+        {
+            let fleet = Fleet::new(gateways, seed).with_exposure(exposure);
+            let load = jump(per_s, part_of_window(percent), factor);
+            let played = fleet.play_at(load, 0.0, GOOD, Kind::Failed);
+            let what =
+                format!("{gateways} gateways, {exposure}, seed {seed}, {percent}%, {factor}");
+            check(&played, exposure, &what);
+        }
+    });
+}
+
+/// The same with a rate that was higher for most of the window and falls: what was counted on is not saved.
+#[test]
+fn falling_rate_stays_within_the_exposure() {
+    for_each_fleet(|gateways, per_s, exposure, seed| {
+        for (percent, factor) in [(50, 0.4), (85, 0.4), (92, 0.2)] {
+            let fleet = Fleet::new(gateways, seed).with_exposure(exposure);
+            let load = jump(per_s, part_of_window(percent), factor);
+            let played = fleet.play_at(load, 0.0, GOOD, Kind::Failed);
+            check(
+                &played,
+                exposure,
+                &format!("{gateways} gateways, seed {seed}, {percent}%, {factor}"),
+            );
+        }
+    });
+}
+
+/// Beside a burst a third of the gateways start anew, and half of the messages are lost. A gateway that
+/// has just started has saved nothing up, and what its earlier start had is not spent twice.
+#[test]
+fn gateways_that_start_anew_stay_within_the_exposure() {
+    for_each_fleet(|gateways, per_s, exposure, seed| {
+        for percent in [60, 86, 92] {
+            let at = part_of_window(percent);
+            let fleet = Fleet::new(gateways, seed).with_exposure(exposure).losing(0.5);
+            let fleet = fleet.restarting(at, gateways.div_ceil(3));
+            let played = fleet.play_at(jump(per_s, at, 1.7), 0.0, GOOD, Kind::Failed);
+            check(&played, exposure, &format!("{gateways} gateways, seed {seed}, {percent}%"));
+        }
+    });
+}
+
+/// What the bound costs a good version is not its deadline: it is done in time at a steady rate, with a
+/// burst in the last part of its window, and with a rate that falls.
+#[test]
+fn good_version_is_done_in_time_within_its_exposure() {
+    for_each_fleet(|gateways, per_s, exposure, seed| {
+        for (percent, factor) in [(0, 1.0), (80, 1.7), (88, 1.7), (92, 1.7), (91, 3.0), (85, 0.4)] {
+            let fleet = Fleet::new(gateways, seed).with_exposure(exposure);
+            let load = jump(per_s, part_of_window(percent), factor);
+            let played = fleet.play_at(load, 0.0, GOOD, Kind::Failed);
+            let what =
+                format!("{gateways} gateways, {exposure}, seed {seed}, {percent}%, {factor}");
+            assert_eq!(played.phase, Phase::Done, "{what}");
+            assert!(played.ended_at.is_some_and(|at| at < WINDOW), "{what}: {:?}", played.ended_at);
+        }
+    });
+}
--- /dev/null
+++ b/core/tests/rollout_fleet/mod.rs
@@ -0,0 +1,219 @@
+//! Roll-outs in virtual time: several gateways, each with its own view, and versions of every kind.
+
+#![allow(dead_code, reason = "each test file uses its part")]
+
+use redwingfold_core::{
+    Arm, Canary, CanaryPolicy, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, Shared,
+};
+
+const ROUTES: usize = 3;
+/// Milliseconds between an order and its deadline.
+pub(crate) const WINDOW: u64 = 24_000;
+
+/// How a version answers: by route, time since the order, and share of the traffic.
+pub(crate) type Version = fn(usize, u64, f64) -> f64;
+
+/// In which way a version's bad answers are bad.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum Kind {
+    Failed,
+    Slow,
+}
+
+/// Gateways that roll one version out.
+pub(crate) struct Fleet {
+    pub(crate) gateways: Vec<Gateway>,
+    rng: fastrand::Rng,
+    policy: CanaryPolicy,
+    /// Time at which some start anew, and how many.
+    restart: Option<(u64, usize)>,
+    /// Part of the messages that is lost.
+    lost: f64,
+}
+
+/// One of them.
+pub(crate) struct Gateway {
+    pub(crate) canary: Canary,
+    own: [RouteEvidence; ROUTES],
+    pub(crate) under_way: u64,
+}
+
+/// What came of a roll-out.
+pub(crate) struct Played {
+    pub(crate) phase: Phase,
+    pub(crate) to_target: u64,
+    pub(crate) all: u64,
+    /// Requests that went to the target later than five seconds after its 50th bad answer.
+    pub(crate) after_50th: u64,
+    pub(crate) ended_at: Option<u64>,
+}
+
+impl Fleet {
+    /// Makes gateways that read the order when it is given.
+    pub(crate) fn new(gateways: usize, seed: u64) -> Self {
+        Self::that_read(gateways, seed, Millis(0), OrderAge::default())
+    }
+
+    /// Makes gateways that read the order some time after it was given, and take it for so old.
+    pub(crate) fn that_read(gateways: usize, seed: u64, after: Millis, age: OrderAge) -> Self {
+        let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
+        let gateway = |_| Gateway {
+            canary: Canary::new(CanaryPolicy::default(), order.clone(), age, after),
+            own: [RouteEvidence::default(); ROUTES],
+            under_way: 0,
+        };
+        Self {
+            gateways: (0..gateways).map(gateway).collect(),
+            rng: fastrand::Rng::with_seed(seed),
+            policy: CanaryPolicy::default(),
+            restart: None,
+            lost: 0.1,
+        }
+    }
+
+    /// Gives the roll-out another window.
+    pub(crate) fn with_window(mut self, window: u64) -> Self {
+        let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(window) };
+        for gateway in &mut self.gateways {
+            let (policy, age) = (CanaryPolicy::default(), OrderAge::default());
+            gateway.canary = Canary::new(policy, order.clone(), age, Millis(0));
+        }
+        self
+    }
+
+    /// What gateway `g` knows; a message of another may be lost, so that what it knew before stands.
+    fn shared(&mut self, known: &mut [Vec<[RouteEvidence; ROUTES]>], g: usize) -> Shared {
+        for (other, gateway) in self.gateways.iter().enumerate() {
+            if other == g || self.rng.f64() > self.lost {
+                known[g][other] = gateway.own;
+            }
+        }
+        let mut routes = vec![RouteEvidence::default(); ROUTES];
+        for own in &known[g] {
+            for (sum, route) in routes.iter_mut().zip(own) {
+                *sum = sum.plus(*route);
+            }
+        }
+        Shared { routes, current_under_way: self.gateways.iter().map(|g| g.under_way).sum() }
+    }
+
+    /// Gives the roll-out another policy.
+    pub(crate) fn with_exposure(mut self, exposure: f64) -> Self {
+        self.policy = CanaryPolicy::for_exposure(exposure);
+        for g in 0..self.gateways.len() {
+            self.gateways[g].canary = self.new_canary(Millis(0));
+        }
+        self
+    }
+
+    /// Lets some gateways start anew at a time.
+    pub(crate) fn restarting(mut self, at: u64, gateways: usize) -> Self {
+        self.restart = Some((at, gateways));
+        self
+    }
+
+    /// Loses more of the messages.
+    pub(crate) fn losing(mut self, lost: f64) -> Self {
+        self.lost = lost;
+        self
+    }
+
+    fn new_canary(&self, now: Millis) -> Canary {
+        let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
+        Canary::new(self.policy, order, OrderAge::default(), now)
+    }
+
+    /// Starts gateways anew: they know nothing but the order, and from the others how old it is.
+    fn start_anew(&mut self, ms: u64) {
+        let Some((at, gateways)) = self.restart else { return };
+        if at != ms {
+            return;
+        }
+        for g in 0..gateways {
+            let mut canary = self.new_canary(Millis(ms));
+            canary.is_older(Millis(ms), Millis(ms));
+            let own = [RouteEvidence::default(); ROUTES];
+            self.gateways[g] = Gateway { canary, own, under_way: 0 };
+        }
+    }
+
+    /// Plays a roll-out with `per_s` requests a second; `usual` of the version in service's answers
+    /// are bad, and the target's as `version` says.
+    pub(crate) fn play(self, per_s: u64, usual: f64, version: Version, kind: Kind) -> Played {
+        self.play_at(|_| per_s, usual, version, kind)
+    }
+
+    /// Plays a roll-out with as many requests a second as `per_s` says for a time.
+    pub(crate) fn play_at(
+        mut self,
+        per_s: impl Fn(u64) -> u64,
+        usual: f64,
+        version: Version,
+        kind: Kind,
+    ) -> Played {
+        let n = self.gateways.len();
+        let mut known = vec![vec![[RouteEvidence::default(); ROUTES]; n]; n];
+        let mut played =
+            Played { phase: Phase::Trial, to_target: 0, all: 0, after_50th: 0, ended_at: None };
+        let (mut bad, mut fiftieth) = (0, None);
+        for ms in (0..WINDOW).step_by(100) {
+            self.start_anew(ms);
+            for _ in 0..per_s(ms) / 10 {
+                let (arm, is_bad) = self.request(ms, usual, version, kind);
+                played.all += 1;
+                if arm == Arm::Target {
+                    played.to_target += 1;
+                    bad += u64::from(is_bad);
+                    played.after_50th += u64::from(fiftieth.is_some_and(|at: u64| ms > at + 5_000));
+                }
+                if bad == 50 && fiftieth.is_none() {
+                    fiftieth = Some(ms);
+                }
+            }
+            for g in 0..n {
+                let shared = self.shared(&mut known, g);
+                let phase = self.gateways[g].canary.step(&shared, Millis(ms));
+                // The first to end it writes the status, and the others read it.
+                if phase >= Phase::Done && played.ended_at.is_none() {
+                    played.ended_at = Some(ms);
+                    played.phase = phase;
+                }
+            }
+            // The old servers stop on that word, so that everything goes to the target.
+            if played.phase == Phase::Done {
+                self.gateways.iter_mut().for_each(|g| g.canary.end(Phase::Done));
+            }
+        }
+        played
+    }
+
+    /// Plays one request; returns which version it went to, and whether its answer was bad.
+    fn request(&mut self, ms: u64, usual: f64, version: Version, kind: Kind) -> (Arm, bool) {
+        let (g, route) = (self.rng.usize(..self.gateways.len()), self.rng.usize(..ROUTES));
+        let now = Millis(ms);
+        let gateway = &mut self.gateways[g];
+        let arm = gateway.canary.arm(None, self.rng.u64(..), now);
+        let share = f64::from(gateway.canary.share().0) / 1000.0;
+        let rate = if arm == Arm::Target { version(route, ms, share) } else { usual };
+        let is_bad = self.rng.f64() < rate;
+        // Times differ by a factor of three either way.
+        let ratio = (self.rng.f64() * 2.2 - 1.1).exp();
+        let evidence = &mut gateway.own[route];
+        let counts = match arm {
+            Arm::Current => &mut evidence.current,
+            Arm::Target => &mut evidence.target,
+        };
+        match kind {
+            Kind::Failed if is_bad => counts.failed += 1,
+            Kind::Slow if is_bad => {
+                counts.good += 1;
+                counts.begin.add(ratio * 8.0);
+            }
+            _ => {
+                counts.good += 1;
+                counts.begin.add(ratio);
+            }
+        }
+        (arm, is_bad)
+    }
+}
