fix(core): bound what a version on trial gets by count, at each gateway

Ruled out: that full traffic began too early by its clock (ramp at 14.5 s, full at 15.6 to 15.8 s, as meant); that counts of each gateway alone suffice to say when the old version may be given up: one of 28 had few requests in the last moments and gave it up in a burst that it had not seen (1,376 of 8,460, 1,299 allowed).

Change: ExposureBudget. Each gateway sends at most the allowed share of its own requests since the order to the target, saves up what the trial leaves, and holds back what the time between giving the old version up and the deadline will take at the present rate. The old version is given up only near the deadline, and when all gateways together, by what they tell each other, have held back as much. With that the count of requests under way at the old version decides nothing any more; it goes, and what gateways sent takes its place in their messages. A request that was sent to a version stays with it.

Left open: a rate that rises after the old version is given up is bounded by the operator's slack and the little that is left of the window alone.

--- a/core/src/serving/answers.rs
+++ b/core/src/serving/answers.rs
@@ -1,5 +1,6 @@
 //! What gateways have seen of a version's answers, as sums that can be added up in any order.
 
+use super::exposure::Sent;
 use crate::rollout::Tally;
 
 /// Times of answers, as sums that gateways can add up in any order.
@@ -170,8 +171,8 @@
 pub struct Shared {
     /// Answers, by route.
     pub routes: Vec<RouteEvidence>,
-    /// Requests under way at the version in service.
-    pub current_under_way: u64,
+    /// What they have sent.
+    pub sent: Sent,
 }
 
 impl Shared {
--- a/core/src/serving/canary.rs
+++ b/core/src/serving/canary.rs
@@ -1,6 +1,7 @@
 //! Rolling a new version of a service out, and back if it answers badly.
 
 use super::answers::{Counts, RouteEvidence, Shared, Times};
+use super::exposure::{ExposureBudget, Sent};
 use crate::ids::{Millis, PerMille, VersionName};
 use crate::rollout::{SequentialTest, Tally, TestVerdict};
 
@@ -40,6 +41,8 @@
 /// Shares and times of a roll-out.
 #[derive(Clone, Copy, Debug)]
 pub struct CanaryPolicy {
+    /// Share of the requests in the window that a bad version may get.
+    pub exposure: PerMille,
     /// Share of the requests in the trial.
     pub trial: PerMille,
     /// Share in the ramp.
@@ -94,6 +97,7 @@
     pub fn for_exposure(exposure: f64) -> Self {
         let per_mille = |share: f64| PerMille((share.clamp(0.0, 1.0) * 1000.0) as u16);
         Self {
+            exposure: per_mille(exposure),
             trial: per_mille(exposure * TRIAL_PART),
             ramp: per_mille(exposure * RAMP_PART),
             trial_until: PerMille(800),
@@ -150,6 +154,7 @@
     /// The earliest one.
     began_earliest: Millis,
     phase: Phase,
+    budget: ExposureBudget,
     /// When full traffic began, and the target's answers until then.
     full_since: Option<(Millis, Counts)>,
 }
@@ -170,11 +175,24 @@
 const MIN_COMPARED: u64 = 20;
 
 impl Canary {
-    /// Begins a roll-out.
-    pub fn new(policy: CanaryPolicy, order: RolloutOrder, age: OrderAge, now: Millis) -> Self {
+    /// Begins a roll-out; `draw` is a random number.
+    pub fn new(
+        policy: CanaryPolicy,
+        order: RolloutOrder,
+        age: OrderAge,
+        now: Millis,
+        draw: u64,
+    ) -> Self {
         let ago = |age: Millis| Millis(now.0.saturating_sub(age.0));
-        let (began, began_earliest) = (ago(age.least), ago(age.most));
-        Self { policy, order, began, began_earliest, phase: Phase::Trial, full_since: None }
+        Self {
+            policy,
+            order,
+            began: ago(age.least),
+            began_earliest: ago(age.most),
+            phase: Phase::Trial,
+            budget: ExposureBudget::new(policy.exposure, draw),
+            full_since: None,
+        }
     }
 
     /// Returns the order.
@@ -237,18 +255,66 @@
     /// Chooses the version for a request; `draw` is a hash of its session, or of itself.
     ///
     /// A session keeps the version that it has, but for the second half of a roll-out, in which it
-    /// may move to the target, and after a roll-back, in which it must leave it.
+    /// may move to the target, and after a roll-back, in which it must leave it. What goes to the target
+    /// of the rest stays within this gateway's part of the allowed exposure.
     pub fn arm(&self, session: Option<Arm>, draw: u64, now: Millis) -> Arm {
         let is_drawn = draw % 1000 < u64::from(self.share().0);
         match (self.phase, session) {
             (Phase::RolledBack, _) => Arm::Current,
-            (Phase::Done | Phase::Full, _) | (_, Some(Arm::Target)) => Arm::Target,
+            (Phase::Done, _) | (_, Some(Arm::Target)) => Arm::Target,
             (_, Some(Arm::Current)) if !self.is_past(PerMille(500), now) => Arm::Current,
-            _ if is_drawn => Arm::Target,
+            _ if is_drawn && self.may_expose(now) => Arm::Target,
             _ => Arm::Current,
         }
     }
 
+    /// Counts a send of a request that has `reached` a version before; returns what it has reached then.
+    /// One that was ever sent to the target counts as the target's.
+    pub fn sent(&mut self, reached: Option<Arm>, arm: Arm, now: Millis) -> Arm {
+        if reached.is_none() {
+            self.budget.reached_service(now);
+        }
+        match (reached, arm) {
+            (Some(Arm::Target), _) => Arm::Target,
+            (_, Arm::Target) => {
+                self.budget.reached_target();
+                Arm::Target
+            }
+            (_, Arm::Current) => Arm::Current,
+        }
+    }
+
+    /// Returns the time until the deadline, at most.
+    fn left(&self, now: Millis) -> Millis {
+        self.order.window.since(self.elapsed(now))
+    }
+
+    /// Says whether the bound on the exposure leaves one more request for the target.
+    fn may_expose(&self, now: Millis) -> bool {
+        let given_up = self.order.window.0 * u64::from(1000 - self.policy.done_by.0) / 1000;
+        let held_back = match self.phase {
+            Phase::Full => self.left(now).min(Millis(given_up)),
+            _ => Millis(0),
+        };
+        self.left(now) == Millis(0) || self.budget.may_send(held_back, now)
+    }
+
+    /// Returns what this gateway has sent since the order.
+    pub fn counts(&self, now: Millis) -> Sent {
+        self.budget.counts(now)
+    }
+
+    /// Says whether the old version may be given up as far as the bound on the exposure goes: until the
+    /// deadline, everything goes to the target then.
+    ///
+    /// All gateways together are asked. With each asking itself, the one of 28 that had the fewest requests in the
+    /// last moments gave it up in a burst that it had not seen, and 1,376 of 8,460 requests went to the
+    /// target where 1,299 are allowed (core/tests/exposure.rs).
+    fn is_within_exposure(&self, sent: Sent, now: Millis) -> bool {
+        let left = self.left(now);
+        left == Millis(0) || sent.leaves(left, self.policy.exposure)
+    }
+
     fn is_past(&self, part: PerMille, now: Millis) -> bool {
         self.elapsed(now).0 * 1000 >= self.order.window.0 * u64::from(part.0)
     }
@@ -321,6 +387,6 @@
         };
         let is_enough = seen >= enough && !self.is_suspect(shared);
         let is_seen = is_enough || span >= longest;
-        span >= SETTLE && is_seen && (shared.current_under_way == 0 || is_late)
+        span >= SETTLE && is_late && is_seen && self.is_within_exposure(shared.sent, now)
     }
 }
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod canary;
 mod catalog;
 mod events;
+mod exposure;
 mod feed;
 mod health;
 mod leads;
@@ -26,6 +27,7 @@
     ServiceName, StreamRules,
 };
 pub use events::{EventId, EventSplitter, WholeEvents};
+pub use exposure::{ExposureBudget, Sent};
 pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView, is_newest_shorter};
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use leads::Leads;
--- a/core/tests/canary.rs
+++ b/core/tests/canary.rs
@@ -3,7 +3,8 @@
 mod rollout_fleet;
 
 use redwingfold_core::{
-    Arm, Canary, CanaryPolicy, Counts, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, Shared,
+    Arm, Canary, CanaryPolicy, Counts, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, Sent,
+    Shared,
 };
 use rollout_fleet::{Fleet, Kind, Version, WINDOW};
 
@@ -87,8 +88,7 @@
     for after in [0, 300, 600, 900] {
         for seed in 0..10 {
             let age = OrderAge { least: Millis(0), most: doubt };
-            let mut fleet = Fleet::that_read(4, seed, Millis(after), age);
-            fleet.gateways[0].under_way = 1;
+            let fleet = Fleet::that_read(4, seed, Millis(after), age);
             let played = fleet.play(60, 0.0, |_, _, _| 0.0, Kind::Failed);
             let allowed = played.all * 15 / 100 + 30;
             assert!(played.to_target <= allowed, "{after}: {}", played.to_target);
@@ -132,8 +132,7 @@
 #[test]
 fn good_version_is_done_though_its_order_was_read_late() {
     for seed in 0..20 {
-        let mut fleet = Fleet::that_read(4, seed, Millis(700), OrderAge::default());
-        fleet.gateways[0].under_way = 1;
+        let fleet = Fleet::that_read(4, seed, Millis(700), OrderAge::default());
         let played = fleet.play(60, 0.0, |_, _, _| 0.0, Kind::Failed);
         assert_eq!(played.phase, Phase::Done, "{seed}");
         assert!(played.ended_at.is_some_and(|at| at < WINDOW), "{seed}: {:?}", played.ended_at);
@@ -145,7 +144,7 @@
 #[test]
 fn sessions_keep_their_version() {
     let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
-    let mut canary = Canary::new(CanaryPolicy::default(), order, OrderAge::default(), Millis(0));
+    let mut canary = Canary::new(CanaryPolicy::default(), order, OrderAge::default(), Millis(0), 0);
     for draw in 0..2_000 {
         let now = Millis(WINDOW / 2 - 1);
         assert_eq!(canary.arm(Some(Arm::Current), draw, now), Arm::Current);
@@ -161,7 +160,7 @@
 fn age_of_an_order_is_learned() {
     let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
     let age = OrderAge::default();
-    let mut canary = Canary::new(CanaryPolicy::default(), order, age, Millis(1_000));
+    let mut canary = Canary::new(CanaryPolicy::default(), order, age, Millis(1_000), 0);
     canary.is_older(Millis(20_000), Millis(2_000));
     assert_eq!(canary.elapsed(Millis(2_000)), Millis(2_000));
     let late = Millis(100_000);
@@ -170,7 +169,7 @@
     let good = Counts { good: 100, ..Counts::default() };
     let shared = Shared {
         routes: vec![RouteEvidence { target: good, ..RouteEvidence::default() }],
-        current_under_way: 0,
+        sent: Sent::default(),
     };
     assert_eq!(canary.step(&shared, late), Phase::Ramp);
 }
@@ -183,8 +182,7 @@
 fn service_of_thirty_a_second_ends_in_time() {
     let age = OrderAge { least: Millis(0), most: Millis(600) };
     let play = |seed, version, kind| {
-        let mut fleet = Fleet::that_read(4, seed, Millis(600), age);
-        fleet.gateways[0].under_way = 1;
+        let fleet = Fleet::that_read(4, seed, Millis(600), age);
         fleet.play(30, 0.0, version, kind)
     };
     let in_time = |seed: &u64| play(*seed, |_, _, _| 0.0, Kind::Failed).phase == Phase::Done;
--- a/core/tests/rollout_fleet/mod.rs
+++ b/core/tests/rollout_fleet/mod.rs
@@ -3,7 +3,7 @@
 #![allow(dead_code, reason = "each test file uses its part")]
 
 use redwingfold_core::{
-    Arm, Canary, CanaryPolicy, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, Shared,
+    Arm, Canary, CanaryPolicy, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, Sent, Shared,
 };
 
 const ROUTES: usize = 3;
@@ -35,9 +35,11 @@
 pub(crate) struct Gateway {
     pub(crate) canary: Canary,
     own: [RouteEvidence; ROUTES],
-    pub(crate) under_way: u64,
 }
 
+/// What one gateway tells the others.
+type Told = ([RouteEvidence; ROUTES], Sent);
+
 /// What came of a roll-out.
 pub(crate) struct Played {
     pub(crate) phase: Phase,
@@ -57,10 +59,10 @@
     /// Makes gateways that read the order some time after it was given, and take it for so old.
     pub(crate) fn that_read(gateways: usize, seed: u64, after: Millis, age: OrderAge) -> Self {
         let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
-        let gateway = |_| Gateway {
-            canary: Canary::new(CanaryPolicy::default(), order.clone(), age, after),
+        let draw = |g: u64| fastrand::Rng::with_seed(seed << 16 | g).u64(..);
+        let gateway = |g| Gateway {
+            canary: Canary::new(CanaryPolicy::default(), order.clone(), age, after, draw(g as u64)),
             own: [RouteEvidence::default(); ROUTES],
-            under_way: 0,
         };
         Self {
             gateways: (0..gateways).map(gateway).collect(),
@@ -76,25 +78,27 @@
         let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(window) };
         for gateway in &mut self.gateways {
             let (policy, age) = (CanaryPolicy::default(), OrderAge::default());
-            gateway.canary = Canary::new(policy, order.clone(), age, Millis(0));
+            gateway.canary = Canary::new(policy, order.clone(), age, Millis(0), self.rng.u64(..));
         }
         self
     }
 
     /// What gateway `g` knows; a message of another may be lost, so that what it knew before stands.
-    fn shared(&mut self, known: &mut [Vec<[RouteEvidence; ROUTES]>], g: usize) -> Shared {
+    fn shared(&mut self, known: &mut [Vec<Told>], g: usize, now: Millis) -> Shared {
         for (other, gateway) in self.gateways.iter().enumerate() {
             if other == g || self.rng.f64() > self.lost {
-                known[g][other] = gateway.own;
+                known[g][other] = (gateway.own, gateway.canary.counts(now));
             }
         }
         let mut routes = vec![RouteEvidence::default(); ROUTES];
-        for own in &known[g] {
+        let mut sent = Sent::default();
+        for (own, counts) in &known[g] {
+            sent = sent.plus(*counts);
             for (sum, route) in routes.iter_mut().zip(own) {
                 *sum = sum.plus(*route);
             }
         }
-        Shared { routes, current_under_way: self.gateways.iter().map(|g| g.under_way).sum() }
+        Shared { routes, sent }
     }
 
     /// Gives the roll-out another policy.
@@ -118,9 +122,9 @@
         self
     }
 
-    fn new_canary(&self, now: Millis) -> Canary {
+    fn new_canary(&mut self, now: Millis) -> Canary {
         let order = RolloutOrder { target: "v2".parse().unwrap(), window: Millis(WINDOW) };
-        Canary::new(self.policy, order, OrderAge::default(), now)
+        Canary::new(self.policy, order, OrderAge::default(), now, self.rng.u64(..))
     }
 
     /// Starts gateways anew: they know nothing but the order, and from the others how old it is.
@@ -133,7 +137,7 @@
             let mut canary = self.new_canary(Millis(ms));
             canary.is_older(Millis(ms), Millis(ms));
             let own = [RouteEvidence::default(); ROUTES];
-            self.gateways[g] = Gateway { canary, own, under_way: 0 };
+            self.gateways[g] = Gateway { canary, own };
         }
     }
 
@@ -152,7 +156,7 @@
         kind: Kind,
     ) -> Played {
         let n = self.gateways.len();
-        let mut known = vec![vec![[RouteEvidence::default(); ROUTES]; n]; n];
+        let mut known = vec![vec![Told::default(); n]; n];
         let mut played =
             Played { phase: Phase::Trial, to_target: 0, all: 0, after_50th: 0, ended_at: None };
         let (mut bad, mut fiftieth) = (0, None);
@@ -171,7 +175,7 @@
                 }
             }
             for g in 0..n {
-                let shared = self.shared(&mut known, g);
+                let shared = self.shared(&mut known, g, Millis(ms));
                 let phase = self.gateways[g].canary.step(&shared, Millis(ms));
                 // The first to end it writes the status, and the others read it.
                 if phase >= Phase::Done && played.ended_at.is_none() {
@@ -193,6 +197,7 @@
         let now = Millis(ms);
         let gateway = &mut self.gateways[g];
         let arm = gateway.canary.arm(None, self.rng.u64(..), now);
+        gateway.canary.sent(None, arm, now);
         let share = f64::from(gateway.canary.share().0) / 1000.0;
         let rate = if arm == Arm::Target { version(route, ms, share) } else { usual };
         let is_bad = self.rng.f64() < rate;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -13,7 +13,6 @@
 use crate::facts::{AnswerFacts, AttemptFacts};
 use crate::load::UnderWay;
 use crate::request::Flight;
-use crate::rollouts::OnCurrent;
 use crate::upstream::{CallError, Caller, chain};
 
 /// Pause between looks at whether a server that is waited for is silent.
@@ -47,7 +46,6 @@
     pub(crate) first_byte: Millis,
     body: Incoming,
     _caller: Caller,
-    _on_current: Option<OnCurrent>,
 }
 
 /// What comes next of a body.
@@ -96,7 +94,7 @@
         }
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
-        let on_current = self.count_current(server);
+        self.count_send(server);
         let reading = self.reading_time(self.size.unwrap_or(0));
         let expected = unread.after(reading).after(self.work(self.size).shared);
         let under_way = gw.loads.send(server, reading);
@@ -130,7 +128,6 @@
             first_byte: now.since(sent_at),
             body,
             _caller: caller,
-            _on_current: on_current,
         }))
     }
 
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{
-    BackendServer, Counts, FeedTold, Incarnation, Millis, ParseIdError, Phase, RouteEvidence,
+    BackendServer, Counts, FeedTold, Incarnation, Millis, ParseIdError, Phase, RouteEvidence, Sent,
     ServerReport, ServerState, Times,
 };
 use serde::{Deserialize, Serialize};
@@ -52,6 +52,22 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct CountsWire(u64, u64, (u64, f32, f32), (u64, f32, f32));
 
+/// Requests that a gateway has sent in a roll-out, those to the target, and its requests a second.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+struct SentWire(u64, u64, f32);
+
+impl From<Sent> for SentWire {
+    fn from(sent: Sent) -> Self {
+        Self(sent.all, sent.target, sent.per_s as f32)
+    }
+}
+
+impl From<SentWire> for Sent {
+    fn from(message: SentWire) -> Self {
+        Self { all: message.0, target: message.1, per_s: f64::from(message.2) }
+    }
+}
+
 /// What a gateway saw of a roll-out.
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct RolloutWire {
@@ -60,7 +76,7 @@
     elapsed_ms: u64,
     /// Route; counts of the target, and of the version in service.
     routes: Vec<(u32, [CountsWire; 2])>,
-    current_under_way: u64,
+    sent: SentWire,
     is_rolled_back: bool,
     recorded: RecordedWire,
 }
@@ -147,7 +163,7 @@
             target: news.target.to_string(),
             elapsed_ms: news.elapsed.0,
             routes: news.routes.iter().map(|(route, e)| (*route, messages(e))).collect(),
-            current_under_way: news.current_under_way,
+            sent: news.sent.into(),
             is_rolled_back: news.is_rolled_back,
             recorded: news.recorded.into(),
         }
@@ -211,7 +227,7 @@
             target: message.target.parse()?,
             elapsed: Millis(message.elapsed_ms),
             routes: message.routes.into_iter().map(|(route, n)| (route, evidence(n))).collect(),
-            current_under_way: message.current_under_way,
+            sent: message.sent.into(),
             is_rolled_back: message.is_rolled_back,
             recorded: message.recorded.into(),
         })
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -15,7 +15,7 @@
 use crate::clock::within;
 use crate::facts::{ModelAsk, RequestFacts};
 use crate::gateway::Gateway;
-use crate::rollouts::{OnCurrent, Seen, Sight};
+use crate::rollouts::{Rollouts, Seen, Sight};
 
 /// Connections that are tried in vain before a request is given up.
 const MAX_UNREACHABLE: u32 = 6;
@@ -42,6 +42,8 @@
     pub(crate) run: RunState,
     /// Sends to servers, the one under way included: one that is waited for is as good as run.
     pub(crate) sends: u32,
+    /// The version that it was sent to; the one on trial if it was ever sent there.
+    reached: Option<Arm>,
     /// Servers that are passed over.
     avoid: Vec<BackendId>,
     unreachable: u32,
@@ -104,6 +106,7 @@
             size,
             run: RunState::NotRun,
             sends: 0,
+            reached: None,
             avoid: Vec::new(),
             unreachable: 0,
             refusals: 0,
@@ -133,11 +136,11 @@
         self.gw.settings.urgency.rank(self.own_tokens(), own, is_resumed)
     }
 
-    pub(crate) fn count_current(&self, server: &BackendServer) -> Option<OnCurrent> {
-        self.gw.with_rollouts(|r| {
-            let is_current = r.arm_of(&server.service, &server.version) == Some(Arm::Current);
-            is_current.then(|| r.on_current(&server.service))
-        })
+    /// Counts a send to a server for the service's roll-out.
+    pub(crate) fn count_send(&mut self, server: &BackendServer) {
+        let (reached, now) = (self.reached, self.gw.now());
+        let sent = |r: &mut Rollouts| r.sent(&server.service, &server.version, reached, now);
+        self.reached = self.gw.with_rollouts(sent).or(reached);
     }
 
     /// Answers the request.
@@ -369,7 +372,7 @@
         self.gw.with_registry(|registry| {
             let servers = self.candidates(registry, size, now);
             let chosen = self.gw.with_rollouts(|r| {
-                let arm = r.arm(&self.service, session, draw, now);
+                let arm = r.arm(&self.service, session, self.reached, draw, now);
                 let other = if arm == Arm::Target { Arm::Current } else { Arm::Target };
                 let of_arm = |arm: Arm| -> Vec<&BackendServer> {
                     let has_arm =
--- a/gateway/src/rollout_news.rs
+++ b/gateway/src/rollout_news.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use redwingfold_core::{Millis, Phase, RouteEvidence, ServiceName, VersionName};
+use redwingfold_core::{Millis, Phase, RouteEvidence, Sent, ServiceName, VersionName};
 
 /// What one gateway tells the others of a roll-out.
 #[derive(Clone, Debug, PartialEq)]
@@ -15,8 +15,8 @@
     pub elapsed: Millis,
     /// Its answers, by a hash of the route's name.
     pub routes: HashMap<u32, RouteEvidence>,
-    /// Its requests under way at the version in service.
-    pub current_under_way: u64,
+    /// What it has sent since the order.
+    pub sent: Sent,
     /// Whether it has found the target bad.
     pub is_rolled_back: bool,
     /// What the store says, as far as it knows: nothing, that the roll-out runs, or how it ended.
--- a/gateway/src/rollout_turns.rs
+++ b/gateway/src/rollout_turns.rs
@@ -66,7 +66,9 @@
                 ("current_failed", &total.current.failed),
                 ("current_begin", &format_args!("{:.2}", total.current.begin.mean().exp())),
                 ("current_pace", &format_args!("{:.2}", total.current.pace.mean().exp())),
-                ("current_under_way", &moved.shared.current_under_way),
+                ("sent", &moved.shared.sent.all),
+                ("sent_target", &moved.shared.sent.target),
+                ("per_s", &format_args!("{:.0}", moved.shared.sent.per_s)),
             ],
         );
     }
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -1,12 +1,10 @@
 //! Roll-outs as this gateway sees them, with what the others have told.
 
-use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
 
 use redwingfold_core::{
     Arm, Canary, CanaryPolicy, Millis, OrderAge, Phase, RolloutOrder, RouteEvidence, RouteName,
-    ServiceName, Shared, StatusBook, VersionName,
+    Sent, ServiceName, Shared, StatusBook, VersionName,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -15,7 +13,7 @@
 use crate::sessions::Sessions;
 use crate::usual::Usual;
 
-/// Age at which another gateway's news no longer counts: it is gone or cut off.
+/// Age at which another gateway's requests no longer count as coming on: it is gone or cut off.
 const MAX_NEWS_AGE: Millis = Millis(4_000);
 
 /// How long the others are told of an end: each of them hears of roll-outs once a second.
@@ -35,7 +33,6 @@
     canary: Option<Canary>,
     ended_at: Option<Millis>,
     routes: HashMap<u32, RouteEvidence>,
-    current_under_way: Rc<Cell<u64>>,
     others: HashMap<String, (RolloutNews, Millis)>,
     usual: HashMap<(u32, usize, bool), Usual>,
 }
@@ -63,16 +60,6 @@
     pub(crate) shared: Shared,
 }
 
-/// A request under way at the version in service; it counts until this is dropped.
-#[derive(Debug)]
-pub(crate) struct OnCurrent(Rc<Cell<u64>>);
-
-impl Drop for OnCurrent {
-    fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
-    }
-}
-
 /// What was seen of an answer.
 #[derive(Clone, Copy, Debug)]
 pub(crate) enum Sight {
@@ -129,7 +116,7 @@
         versions.routes.clear();
         versions.others.clear();
         versions.ended_at = None;
-        versions.canary = Some(Canary::new(self.policy, order, age, now));
+        versions.canary = Some(Canary::new(self.policy, order, age, now, fastrand::u64(..)));
         self.statuses.forget(service);
     }
 
@@ -227,11 +214,13 @@
         }
     }
 
-    /// Chooses between the version in service and the one that is rolled out.
+    /// Chooses between the version in service and the one that is rolled out. What a request has
+    /// `reached` before binds it as its session does.
     pub(crate) fn arm(
         &self,
         service: &ServiceName,
         session: Option<&str>,
+        reached: Option<Arm>,
         draw: u64,
         now: Millis,
     ) -> Arm {
@@ -241,7 +230,7 @@
         let version = session.and_then(|session| self.sessions.version(service, session, now));
         let arm =
             version.map(|v| if *v == canary.order().target { Arm::Target } else { Arm::Current });
-        canary.arm(arm, draw, now)
+        canary.arm(reached.or(arm), draw, now)
     }
 
     /// Says to which arm a version belongs; `None` if it may not be used.
@@ -258,11 +247,18 @@
         }
     }
 
-    /// Counts a request that goes to the version in service.
-    pub(crate) fn on_current(&mut self, service: &ServiceName) -> OnCurrent {
-        let count = &self.services.entry(service.clone()).or_default().current_under_way;
-        count.set(count.get() + 1);
-        OnCurrent(count.clone())
+    /// Counts a send of a request that has `reached` a version of its service before; returns what it has
+    /// reached then.
+    pub(crate) fn sent(
+        &mut self,
+        service: &ServiceName,
+        version: &VersionName,
+        reached: Option<Arm>,
+        now: Millis,
+    ) -> Option<Arm> {
+        let arm = self.arm_of(service, version)?;
+        let canary = self.services.get_mut(service).and_then(|v| v.canary.as_mut());
+        Some(canary.map_or(arm, |canary| canary.sent(reached, arm, now)))
     }
 
     /// Counts an answer for its version.
@@ -329,7 +325,7 @@
                 target: canary.order().target.clone(),
                 elapsed: canary.elapsed(now),
                 routes: v.routes.clone(),
-                current_under_way: v.current_under_way.get(),
+                sent: canary.counts(now),
                 is_rolled_back: canary.phase() == Phase::RolledBack,
                 recorded,
             })
@@ -418,16 +414,16 @@
 impl ServiceVersions {
     fn shared(&self, now: Millis) -> Shared {
         let mut routes = self.routes.clone();
-        let mut current_under_way = self.current_under_way.get();
+        let mut sent = self.canary.as_ref().map_or_else(Sent::default, |c| c.counts(now));
         for (news, at) in self.others.values() {
             for (route, evidence) in &news.routes {
                 let sum = routes.entry(*route).or_default();
                 *sum = sum.plus(*evidence);
             }
-            if now.since(*at) < MAX_NEWS_AGE {
-                current_under_way += news.current_under_way;
-            }
+            let is_present = now.since(*at) < MAX_NEWS_AGE;
+            let per_s = if is_present { news.sent.per_s } else { 0.0 };
+            sent = sent.plus(Sent { per_s, ..news.sent });
         }
-        Shared { routes: routes.into_values().collect(), current_under_way }
+        Shared { routes: routes.into_values().collect(), sent }
     }
 }
