feat(core): leave servers that cannot be reached, by what all gateways found out

Cause: 103 gateways before 180 servers meet one server each 18 s, so that none learns by itself which are dark. Nobody hears of requests that run there, they look idle and are chosen first. A log of the large site with 54 servers dark in a burst: 12,162 connections in vain in 4.3 s, 0.25 s each, two or three for each request, until the servers' records lapsed.

Ruled out: more patience of the health of one gateway (three losses in a row at one server take a minute); the store's records alone (they lapse after 3.6 s).

Change: gateways tell each other which servers they could not connect to, within the message on loads, and which of these have answered. Two gateways are enough to leave a server out for two to four seconds, one more to leave it out again; any answer brings it back at all. A gateway that hears nobody tells nothing. The wait for a connection is fitted to those before: 60 ms where they take a few, up to 250 as before.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod canary;
 mod catalog;
+mod connect_time;
 mod events;
 mod exposure;
 mod feed;
@@ -18,6 +19,7 @@
 mod sizes;
 mod status;
 mod stream_time;
+mod unreached;
 mod urgency;
 
 pub use answers::{Counts, RouteEvidence, Shared, Times};
@@ -27,6 +29,7 @@
     BackendId, CallLimits, Catalog, Customer, Priority, Repeat, Route, RouteName, Service,
     ServiceName, StreamRules,
 };
+pub use connect_time::ConnectTimes;
 pub use events::{EventId, EventSplitter, WholeEvents};
 pub use exposure::{ExposureBudget, Sent};
 pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView, is_newest_shorter};
@@ -41,4 +44,5 @@
 pub use sizes::{Larger, Pressure, Rises, SizePolicy};
 pub use status::StatusBook;
 pub use stream_time::StreamTimes;
+pub use unreached::Unreached;
 pub use urgency::UrgencyPolicy;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -82,12 +82,19 @@
         resume_after: Option<EventId>,
     ) -> Attempted {
         let gw = self.gw.clone();
-        let limit = gw.settings.connect_timeout.min(self.left());
+        let limit = gw.connect_times.get().limit().min(self.left());
+        let connecting_at = gw.now();
         let connected = Caller::connect(&gw.executor, server.addr, limit).await;
         let mut caller = match connected {
             Ok(caller) => caller,
-            Err(e) => return Attempted::Unreachable(e.to_string()),
+            Err(e) => {
+                if e.is_timeout() {
+                    gw.connected(None);
+                }
+                return Attempted::Unreachable(e.to_string());
+            }
         };
+        gw.connected(Some(gw.now().since(connecting_at)));
         let left = self.left();
         if left == Millis(0) {
             return Attempted::Unreachable("no time is left".to_owned());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, Leads, Millis, Pressure, PutOutcome, ReadRates, Registry,
-    RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServiceName, StreamTimes,
+    BackendId, BackendServer, Catalog, ConnectTimes, Leads, Millis, Pressure, PutOutcome,
+    ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -73,6 +73,7 @@
     /// Another gateway knows more of one of them.
     pub(crate) ahead: Event,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    pub(crate) connect_times: Cell<ConnectTimes>,
     pub(crate) rates: RefCell<ReadRates>,
     pub(crate) rises: RefCell<Rises>,
     pub(crate) stream_times: RefCell<StreamTimes>,
@@ -100,6 +101,7 @@
     ) -> Self {
         let rollouts = Rollouts::new(settings.canary, settings.session_keep);
         let feeds = Feeds::new(settings.feeds);
+        let connect_times = ConnectTimes::new(settings.connect_timeout);
         Self {
             settings,
             dialect,
@@ -122,6 +124,7 @@
             servers_written: RefCell::default(),
             ahead: Event::new(),
             budgets: RefCell::default(),
+            connect_times: Cell::new(connect_times),
             rates: RefCell::default(),
             rises: RefCell::default(),
             stream_times: RefCell::default(),
@@ -296,6 +299,16 @@
         self.with_budget(service, |budget| budget.try_take(what, self.now()))
     }
 
+    /// Notes how long a connection to a server took, or that it did not come in time.
+    pub(crate) fn connected(&self, took: Option<Millis>) {
+        let mut times = self.connect_times.get();
+        match took {
+            Some(took) => times.took(took),
+            None => times.did_not_come(),
+        }
+        self.connect_times.set(times);
+    }
+
     /// Counts how long a first try waited for its first byte.
     pub(crate) fn first_try(&self, took: Millis, aim: Millis) {
         let mut pressure = self.pressure.get();
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -1,12 +1,13 @@
 //! What this gateway knows of each backend server's load and health.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 use redwingfold_core::{
     BackendId, BackendServer, FailureDomain, Fault, HealthPolicy, Incarnation, Millis, PeerLoads,
-    Place, ServerHealth, ServerReport,
+    Place, ServerHealth, ServerReport, Unreached,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -37,6 +38,7 @@
 struct Tables {
     own: HashMap<BackendId, Known>,
     peers: PeerLoads,
+    unreached: Unreached<Voice>,
     /// What the peers have not been told yet.
     untold: LoadNews,
 }
@@ -48,6 +50,17 @@
     pub(crate) sent: Vec<(u32, Millis)>,
     /// Reports that came with answers, the newest of each server.
     pub(crate) reports: HashMap<u32, ServerReport>,
+    /// Servers to which no connection could be made.
+    pub(crate) unreached: HashSet<u32>,
+    /// Servers that have answered, though somebody could not reach them.
+    pub(crate) answered: HashSet<u32>,
+}
+
+/// Who could not reach a server.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+enum Voice {
+    Own,
+    Peer(SocketAddr),
 }
 
 /// Reading time below which a prompt is not worth a message.
@@ -123,7 +136,7 @@
             unread: known.unread.after(tables.peers.backlog(short, now)),
             slots: server.slots,
             is_near: server.domain == *domain,
-            is_out: known.health.is_out(now),
+            is_out: known.health.is_out(now) || tables.unreached.is_out(short, now),
         }
     }
 
@@ -153,11 +166,32 @@
         self.0.borrow_mut().untold.reports.insert(short_id(&server.id), report);
     }
 
-    /// Takes what a peer has told.
-    pub(crate) fn hear(&self, news: LoadNews, now: Millis) {
-        let peers = &mut self.0.borrow_mut().peers;
+    /// Takes what a peer has told; returns how many servers are left out from now on.
+    pub(crate) fn hear(&self, from: SocketAddr, news: LoadNews, now: Millis) -> usize {
+        let Tables { peers, unreached, .. } = &mut *self.0.borrow_mut();
         news.sent.into_iter().for_each(|(server, takes)| peers.sent(server, takes, now));
-        news.reports.into_iter().for_each(|(server, report)| peers.reported(server, report, now));
+        for (server, report) in news.reports {
+            peers.reported(server, report, now);
+            unreached.answered(server);
+        }
+        for server in news.answered {
+            unreached.answered(server);
+        }
+        let voice = Voice::Peer(from);
+        let is_out = |server: &u32| unreached.failed(*server, voice, now, fastrand::u64(..));
+        news.unreached.iter().copied().filter(is_out).count()
+    }
+
+    /// Takes that no connection to a server could be made; `true` if it is left out from now on.
+    pub(crate) fn unreached(&self, server: &BackendServer, now: Millis) -> bool {
+        let mut tables = self.0.borrow_mut();
+        if tables.unreached.is_cut_off(now) {
+            return false;
+        }
+        let short = short_id(&server.id);
+        tables.untold.reports.remove(&short);
+        tables.untold.unreached.insert(short);
+        tables.unreached.failed(short, Voice::Own, now, fastrand::u64(..))
     }
 
     /// Takes what the peers have not been told yet.
@@ -168,6 +202,13 @@
     /// Notes that bytes came from a server.
     pub(crate) fn heard(&self, server: &BackendServer, now: Millis) {
         self.change(&server.into(), |known| known.heard_at = now);
+        let Tables { unreached, untold, .. } = &mut *self.0.borrow_mut();
+        unreached.heard(now);
+        let short = short_id(&server.id);
+        if unreached.answered(short) {
+            untold.unreached.remove(&short);
+            untold.answered.insert(short);
+        }
     }
 
     /// Returns when bytes last came from a server.
@@ -197,6 +238,7 @@
         let mut tables = self.0.borrow_mut();
         tables.own.remove(id);
         tables.peers.forget(short_id(id));
+        tables.unreached.answered(short_id(id));
     }
 
     /// Changes what is known of a start of a server. What its earlier starts answered, or how they
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -19,6 +19,10 @@
     pub(crate) sent: Vec<(u32, u16)>,
     /// Server, requests that run, and that wait.
     pub(crate) reports: Vec<(u32, u16, u16)>,
+    /// Servers to which no connection could be made.
+    pub(crate) unreached: Vec<u32>,
+    /// Servers that have answered, though somebody could not reach them.
+    pub(crate) answered: Vec<u32>,
     pub(crate) orders: Option<FeedWire>,
     pub(crate) servers: Option<(FeedWire, Vec<ChangeWire>)>,
     pub(crate) rollouts: Vec<RolloutWire>,
@@ -250,6 +254,8 @@
             (server, short(u64::from(r.running)), short(u64::from(r.waiting)))
         };
         self.reports = news.reports.into_iter().map(report).collect();
+        self.unreached = news.unreached.into_iter().collect();
+        self.answered = news.answered.into_iter().collect();
     }
 
     /// Takes out what is told of loads.
@@ -262,6 +268,8 @@
         LoadNews {
             sent: sent.into_iter().map(|(s, ms)| (s, Millis(ms.into()))).collect(),
             reports: reports.into_iter().map(report).collect(),
+            unreached: std::mem::take(&mut self.unreached).into_iter().collect(),
+            answered: std::mem::take(&mut self.answered).into_iter().collect(),
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -240,7 +240,8 @@
 
 fn take(gw: &Gateway, from: SocketAddr, mut message: PeerMessage) {
     let now = gw.now();
-    gw.loads.hear(message.take_loads(), now);
+    let out = gw.loads.hear(from, message.take_loads(), now);
+    gw.telemetry.count("servers.unreached", out as i64);
     if let Some(orders) = message.orders {
         gw.hear_orders(from, orders.into());
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -327,6 +327,9 @@
     fn unreachable(&mut self, server: &BackendServer, why: String) -> Result<(), Failed> {
         self.unreachable += 1;
         self.failed_at(server, Fault::Lost);
+        if self.gw.loads.unreached(server, self.gw.now()) {
+            self.gw.telemetry.count("servers.unreached", 1);
+        }
         match self.unreachable {
             n if n < MAX_UNREACHABLE => Ok(()),
             _ => Err(Failed { run: self.run, ..Failed::new(ErrorKind::NoBackend, why) }),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -26,7 +26,7 @@
     pub repeat_window: Millis,
     /// How long a session's version is remembered after its last request.
     pub session_keep: Millis,
-    /// Time within which a connection to a backend server must stand.
+    /// Longest time within which a connection to a backend server must stand.
     pub connect_timeout: Millis,
     /// Bytes of a whole answer that are held back until it is complete.
     pub max_whole_answer: usize,
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -39,6 +39,13 @@
 
 impl std::error::Error for CallError {}
 
+impl CallError {
+    /// Says whether a connection did not come in time.
+    pub(crate) fn is_timeout(&self) -> bool {
+        matches!(self, Self::Unreachable(e) if e.kind() == io::ErrorKind::TimedOut)
+    }
+}
+
 /// A connection to a server. Dropping it closes it, which stops what the server does for it.
 #[derive(Debug)]
 pub struct Caller {
