feat(gateway): try a server that was left out once at a time, and say who left it out

Change: a gateway tries such a server once, and then again only after two seconds or an answer to anybody; gateways come back in a drawn order in which early ones are rare.

Result in virtual time, with dark servers that look idle: the bounds of core/tests/unreached.rs hold as before.

--- a/core/src/serving/unreached.rs
+++ b/core/src/serving/unreached.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::hash::Hash;
 
+use super::feed::wait;
 use crate::ids::Millis;
 
 /// Gateways that must have failed to connect before a server is left out: one alone may be cut off itself. While
@@ -12,8 +13,8 @@
 /// Time for which a gateway's word counts: a fleet whose servers get a request a second each has two by then.
 const WORD_KEPT: Millis = Millis(3_000);
 
-/// Time for which a server is left out. Gateways come back to it over as long again: the first that fails keeps the
-/// others away, and the first that is answered brings all back.
+/// Time for which a server is left out. Gateways come back to it over as long again, the early ones the rarer the larger
+/// the fleet is: the first that fails keeps the others away, and the first that is answered brings all back.
 const OUT: Millis = Millis(2_000);
 
 /// Time without an answer of any server after which a gateway takes itself for cut off.
@@ -43,6 +44,8 @@
 #[derive(Clone, Debug)]
 struct Suspect<G> {
     words: Vec<(G, Millis)>,
+    /// Until when words change nothing.
+    settled_until: Millis,
     out_until: Millis,
     was_out: bool,
     last: Millis,
@@ -54,9 +57,8 @@
     /// ```
     /// use redwingfold_core::{Millis, Unreached};
     /// let mut unreached = Unreached::new();
-    /// assert!(!unreached.failed(7, 'a', Millis(0), 0));
-    /// assert!(!unreached.failed(7, 'a', Millis(50), 0));
-    /// assert!(unreached.failed(7, 'b', Millis(100), 0));
+    /// let mut failed = |gateway, now| unreached.failed(7, gateway, 3, Millis(now), 0);
+    /// assert!(!failed('a', 0) && !failed('a', 50) && failed('b', 100));
     /// assert!(unreached.is_out(7, Millis(200)));
     /// assert!(unreached.answered(7));
     /// assert!(!unreached.is_out(7, Millis(200)));
@@ -65,15 +67,27 @@
         Self { servers: HashMap::new(), heard_at: Millis(0) }
     }
 
-    /// Takes that a gateway could not connect to a server; `true` if it is left out from now on. `draw` is a random
-    /// number.
-    pub fn failed(&mut self, server: u32, gateway: G, now: Millis, draw: u64) -> bool {
+    /// Takes that a gateway of a fleet could not connect to a server; `true` if it is left out from now on. `draw` is a
+    /// random number.
+    pub fn failed(
+        &mut self,
+        server: u32,
+        gateway: G,
+        fleet: usize,
+        now: Millis,
+        draw: u64,
+    ) -> bool {
         self.make_room(now);
-        let none =
-            || Suspect { words: Vec::new(), out_until: Millis(0), was_out: false, last: now };
+        let none = || Suspect {
+            words: Vec::new(),
+            settled_until: Millis(0),
+            out_until: Millis(0),
+            was_out: false,
+            last: now,
+        };
         let suspect = self.servers.entry(server).or_insert_with(none);
         suspect.last = now;
-        if now < suspect.out_until {
+        if now < suspect.settled_until {
             return false;
         }
         suspect.words.retain(|(by, at)| *by != gateway && now.since(*at) < WORD_KEPT);
@@ -81,12 +95,24 @@
         if suspect.words.len() < VOICES && !suspect.was_out {
             return false;
         }
-        suspect.out_until = now.after(OUT).after(Millis(draw % OUT.0));
+        suspect.settled_until = now.after(OUT);
+        suspect.out_until = now.after(OUT).after(wait(OUT, fleet, draw));
         suspect.was_out = true;
         suspect.words.clear();
         true
     }
 
+    /// Notes that this gateway tries a server. One that was left out and has not answered since gets no other of its
+    /// requests meanwhile: nobody knows of any work there, so that it looks idle and would get all of them.
+    pub fn tried(&mut self, server: u32, now: Millis) {
+        match self.servers.get_mut(&server) {
+            Some(suspect) if suspect.was_out => {
+                suspect.out_until = suspect.out_until.max(now.after(OUT));
+            }
+            _ => {}
+        }
+    }
+
     /// Takes that a server has answered somebody; `true` if somebody could not reach it before, so that the others
     /// should know.
     pub fn answered(&mut self, server: u32) -> bool {
--- a/core/tests/unreached.rs
+++ b/core/tests/unreached.rs
@@ -48,7 +48,7 @@
         let now = Millis(ms);
         for (_, g, server) in failing.extract_if(.., |(at, ..)| *at <= ms) {
             if !tables[g].is_cut_off(now) {
-                tables[g].failed(server, g, now, rng.u64(..));
+                tables[g].failed(server, g, load.gateways, now, rng.u64(..));
                 words.push((ms + rng.u64(..TURN), g, server, false));
             }
         }
@@ -60,7 +60,7 @@
                         table.answered(server);
                     }
                     false => {
-                        table.failed(server, from, now, rng.u64(..));
+                        table.failed(server, from, load.gateways, now, rng.u64(..));
                     }
                 }
             }
@@ -75,7 +75,12 @@
                 played.choices += 1;
                 played.wrongly_out += out.iter().filter(|server| !is_dark(**server)).count();
             }
-            let Some(&server) = rng.choice(&pool) else { continue };
+            let two = [rng.choice(&pool), rng.choice(&pool)];
+            // Nobody hears of work at a dark server: of two it looks the idler.
+            let Some(&server) = two.into_iter().flatten().min_by_key(|s| !is_dark(**s)) else {
+                continue;
+            };
+            tables[g].tried(server, now);
             match is_dark(server) || (g < load.cut_off && is_on(ms)) {
                 true => {
                     played.in_vain += usize::from(is_dark(server));
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -84,6 +84,7 @@
         let gw = self.gw.clone();
         let limit = gw.connect_times.get().limit().min(self.left());
         let connecting_at = gw.now();
+        gw.loads.tries(server, connecting_at);
         let connected = Caller::connect(&gw.executor, server.addr, limit).await;
         let mut caller = match connected {
             Ok(caller) => caller,
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -18,7 +18,7 @@
 use crate::exchange::{Orders, WrittenServers};
 use crate::facts::Dialect;
 use crate::feeds::{Feeds, ServerChange};
-use crate::load::LoadTable;
+use crate::load::{LoadTable, short_id};
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
 
@@ -262,6 +262,19 @@
         }
     }
 
+    /// Logs that a server is left out because gateways could not reach it, this one the last or another.
+    pub(crate) fn left_out_unreached(&self, server: u32, told_by: Option<SocketAddr>) {
+        self.telemetry.count("servers.unreached", 1);
+        let registry = self.registry.borrow();
+        let found = registry.servers(self.now()).find(|s| short_id(&s.id) == server);
+        let Some(server) = found else { return };
+        let told_by = told_by.map_or_else(|| "self".to_owned(), |peer| peer.to_string());
+        self.telemetry.info(
+            "server_unreached",
+            &[("server", &server.id), ("addr", &server.addr), ("told_by", &told_by)],
+        );
+    }
+
     /// Works with the roll-outs.
     pub fn with_rollouts<T>(&self, f: impl FnOnce(&mut Rollouts) -> T) -> T {
         f(&mut self.rollouts.borrow_mut())
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -166,8 +166,14 @@
         self.0.borrow_mut().untold.reports.insert(short_id(&server.id), report);
     }
 
-    /// Takes what a peer has told; returns how many servers are left out from now on.
-    pub(crate) fn hear(&self, from: SocketAddr, news: LoadNews, now: Millis) -> usize {
+    /// Takes what a peer has told; returns the servers that are left out from now on, by their short names.
+    pub(crate) fn hear(
+        &self,
+        from: SocketAddr,
+        news: LoadNews,
+        fleet: usize,
+        now: Millis,
+    ) -> Vec<u32> {
         let Tables { peers, unreached, .. } = &mut *self.0.borrow_mut();
         news.sent.into_iter().for_each(|(server, takes)| peers.sent(server, takes, now));
         for (server, report) in news.reports {
@@ -178,12 +184,17 @@
             unreached.answered(server);
         }
         let voice = Voice::Peer(from);
-        let is_out = |server: &u32| unreached.failed(*server, voice, now, fastrand::u64(..));
-        news.unreached.iter().copied().filter(is_out).count()
+        let is_out = |server: &u32| unreached.failed(*server, voice, fleet, now, fastrand::u64(..));
+        news.unreached.iter().copied().filter(is_out).collect()
+    }
+
+    /// Notes that a server is tried.
+    pub(crate) fn tries(&self, server: &BackendServer, now: Millis) {
+        self.0.borrow_mut().unreached.tried(short_id(&server.id), now);
     }
 
     /// Takes that no connection to a server could be made; `true` if it is left out from now on.
-    pub(crate) fn unreached(&self, server: &BackendServer, now: Millis) -> bool {
+    pub(crate) fn unreached(&self, server: &BackendServer, fleet: usize, now: Millis) -> bool {
         let mut tables = self.0.borrow_mut();
         if tables.unreached.is_cut_off(now) {
             return false;
@@ -191,7 +202,7 @@
         let short = short_id(&server.id);
         tables.untold.reports.remove(&short);
         tables.untold.unreached.insert(short);
-        tables.unreached.failed(short, Voice::Own, now, fastrand::u64(..))
+        tables.unreached.failed(short, Voice::Own, fleet, now, fastrand::u64(..))
     }
 
     /// Takes what the peers have not been told yet.
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -240,8 +240,10 @@
 
 fn take(gw: &Gateway, from: SocketAddr, mut message: PeerMessage) {
     let now = gw.now();
-    let out = gw.loads.hear(from, message.take_loads(), now);
-    gw.telemetry.count("servers.unreached", out as i64);
+    let fleet = gw.with_feeds(|feeds| feeds.fleet());
+    for server in gw.loads.hear(from, message.take_loads(), fleet, now) {
+        gw.left_out_unreached(server, Some(from));
+    }
     if let Some(orders) = message.orders {
         gw.hear_orders(from, orders.into());
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -15,6 +15,7 @@
 use crate::clock::within;
 use crate::facts::{ModelAsk, RequestFacts};
 use crate::gateway::Gateway;
+use crate::load::short_id;
 use crate::rollouts::{Rollouts, Seen, Sight};
 
 /// Connections that are tried in vain before a request is given up.
@@ -327,8 +328,9 @@
     fn unreachable(&mut self, server: &BackendServer, why: String) -> Result<(), Failed> {
         self.unreachable += 1;
         self.failed_at(server, Fault::Lost);
-        if self.gw.loads.unreached(server, self.gw.now()) {
-            self.gw.telemetry.count("servers.unreached", 1);
+        let fleet = self.gw.with_feeds(|feeds| feeds.fleet());
+        if self.gw.loads.unreached(server, fleet, self.gw.now()) {
+            self.gw.left_out_unreached(short_id(&server.id), None);
         }
         match self.unreachable {
             n if n < MAX_UNREACHABLE => Ok(()),
