--- a/core/src/serving/placement.rs
+++ b/core/src/serving/placement.rs
@@ -18,8 +18,6 @@
     pub unread: Millis,
     /// Requests that it runs at once.
     pub slots: u32,
-    /// Whether it is in the gateway's failure domain.
-    pub is_near: bool,
     /// Whether its answers were so bad that it is left out while others are there.
     pub is_out: bool,
 }
@@ -42,8 +40,6 @@
     pub running_ms: f64,
     /// A request that waits: all slots are taken.
     pub waiting_ms: f64,
-    /// A server in another failure domain.
-    pub far_ms: f64,
     /// Reading a shared token again, beyond its time: it takes memory from other prompts.
     pub again_ms: f64,
     /// Part of the shared prompt that the first servers in a prompt's ranking hold in their caches.
@@ -55,21 +51,14 @@
     /// steps, of which a new one feels a few before its first token. The second in rank gets a prompt only while the
     /// first is loaded, and has it in its cache less often.
     fn default() -> Self {
-        Self {
-            running_ms: 4.0,
-            waiting_ms: 60.0,
-            far_ms: 1.0,
-            again_ms: 0.015,
-            cached: [1.0, 0.6, 0.2],
-        }
+        Self { running_ms: 4.0, waiting_ms: 60.0, again_ms: 0.015, cached: [1.0, 0.6, 0.2] }
     }
 }
 
 impl Place {
     fn cost(&self, policy: &PlacementPolicy) -> f64 {
-        let far = if self.is_near { 0.0 } else { policy.far_ms };
         let waiting = self.waiting + (self.running - f64::from(self.slots)).max(0.0);
-        self.unread.0 as f64 + self.running * policy.running_ms + waiting * policy.waiting_ms + far
+        self.unread.0 as f64 + self.running * policy.running_ms + waiting * policy.waiting_ms
     }
 }
 
@@ -87,7 +76,7 @@
 /// ```
 /// use redwingfold_core::{Millis, Place, PlacementPolicy, Work, place};
 /// let idle = Place {
-///     id: "a".into(), running: 0.0, waiting: 0.0, unread: Millis(0), slots: 8, is_near: true,
+///     id: "a".into(), running: 0.0, waiting: 0.0, unread: Millis(0), slots: 8,
 ///     is_out: false,
 /// };
 /// let busy = Place { id: "b".into(), running: 7.0, ..idle.clone() };
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -250,7 +250,6 @@
             waiting: 0.0,
             unread: Millis(0),
             slots: 64,
-            is_near: i % 3 == 0,
             is_out: false,
         })
         .collect()
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -6,8 +6,8 @@
 use std::rc::Rc;
 
 use redwingfold_core::{
-    BackendId, BackendServer, FailureDomain, Fault, HealthPolicy, Incarnation, Millis, PeerLoads,
-    Place, ServerHealth, ServerReport, Unreached,
+    BackendId, BackendServer, Fault, HealthPolicy, Incarnation, Millis, PeerLoads, Place,
+    ServerHealth, ServerReport, Unreached,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -111,12 +111,7 @@
 
 impl LoadTable {
     /// Describes a server for placement.
-    pub(crate) fn place(
-        &self,
-        server: &BackendServer,
-        domain: &FailureDomain,
-        now: Millis,
-    ) -> Place {
+    pub(crate) fn place(&self, server: &BackendServer, now: Millis) -> Place {
         let tables = self.0.borrow();
         let known = tables.own.get(&server.id).cloned().unwrap_or_default();
         let short = short_id(&server.id);
@@ -135,7 +130,6 @@
             waiting: f64::from(waiting),
             unread: known.unread.after(tables.peers.backlog(short, now)),
             slots: server.slots,
-            is_near: server.domain == *domain,
             is_out: known.health.is_out(now) || tables.unreached.is_out(short, now),
         }
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -388,9 +388,8 @@
                 let chosen = of_arm(arm);
                 if chosen.is_empty() { of_arm(other) } else { chosen }
             });
-            let (domain, loads) = (&self.gw.settings.domain, &self.gw.loads);
-            let mut places: Vec<Place> =
-                chosen.iter().map(|s| loads.place(s, domain, now)).collect();
+            let loads = &self.gw.loads;
+            let mut places: Vec<Place> = chosen.iter().map(|s| loads.place(s, now)).collect();
             bound_left_out(&mut places, self.gw.settings.health.max_out_share);
             let policy = &self.gw.settings.placement;
             let found = place(&places, self.work(size), policy, |n| fastrand::usize(..n))?;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,8 +1,7 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, FailureDomain, HealthPolicy, Millis, PlacementPolicy, SilencePolicy, SizePolicy,
-    UrgencyPolicy,
+    CanaryPolicy, HealthPolicy, Millis, PlacementPolicy, SilencePolicy, SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -10,8 +9,6 @@
 /// What a gateway is told at its start.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
-    /// Failure domain of this host.
-    pub domain: FailureDomain,
     /// Connections from callers at a time.
     pub max_connections: usize,
     /// Bytes of request bodies that are held at a time.
@@ -48,18 +45,16 @@
     pub max_orders: usize,
 }
 
-impl GatewaySettings {
-    /// Makes the default settings for a host in a failure domain.
+impl Default for GatewaySettings {
+    /// Figures for where the platform names none.
     ///
     /// ```
     /// use redwingfold_gateway::GatewaySettings;
-    /// let settings = GatewaySettings::new("hall-1".parse()?);
+    /// let settings = GatewaySettings::default();
     /// assert!(settings.quality_ratio < settings.repeat_ratio);
-    /// # Ok::<(), Box<dyn std::error::Error>>(())
     /// ```
-    pub fn new(domain: FailureDomain) -> Self {
+    fn default() -> Self {
         Self {
-            domain,
             max_connections: 1_500,
             max_held_bytes: 16 * 1024 * 1024,
             repeat_ratio: 0.8,
