--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -274,7 +274,9 @@
     /// Waits until a gateway is ready.
     pub fn wait_ready(&self, n: usize) {
         let ready = self.gateways[n].ready;
-        wait_for("a gateway is ready", || get(ready, "/ready").status() == 200);
+        let is_ready = eventually(|| get(ready, "/ready").status() == 200);
+        let lines = || self.gateways[n].process.lines().join("\n");
+        assert!(is_ready, "not in time: a gateway is ready; its log:\n{}", lines());
     }
 
     fn boot(&self, n: usize, store: SocketAddr) -> String {
