test(core): play gateways that find each other the same way each time

Cause: untold_newcomers_do_not_know_each_other failed once in a whole run: peers came in the order of a hash map, which differs in each process, so that its seeds did not repeat. Change: they are sorted before they are shuffled by the seed.

--- a/core/tests/members.rs
+++ b/core/tests/members.rs
@@ -81,6 +81,7 @@
                 continue;
             }
             let mut present = gateway.members.present(now);
+            present.sort_unstable();
             rng.shuffle(&mut present);
             if is_news {
                 others.extend(Members::told(&present));
