--- /dev/null
+++ b/core/src/serving/fingerprint.rs
@@ -0,0 +1,33 @@
+//! What tells that two requests are the same, whatever ids they come under.
+
+use std::fmt;
+use std::str::FromStr;
+
+use crate::ids::ParseIdError;
+
+/// A hash of what a request asks for and who asks it; its repeats have the same one.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Fingerprint(pub u64);
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Fingerprint {
+    type Err = ParseIdError;
+
+    /// Reads the hexadecimal form.
+    ///
+    /// ```
+    /// use redwingfold_core::Fingerprint;
+    /// assert_eq!(Fingerprint(10).to_string().parse(), Ok(Fingerprint(10)));
+    /// assert!("10".parse::<Fingerprint>().is_err());
+    /// ```
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let is_hex = text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit());
+        let number = is_hex.then(|| u64::from_str_radix(text, 16).ok()).flatten();
+        number.map(Self).ok_or_else(|| ParseIdError::new("a fingerprint (16 hex digits)", text))
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -42,6 +42,7 @@
     pub(crate) server: BackendServer,
     pub(crate) under_way: UnderWay,
     pub(crate) size: Option<usize>,
+    pub(crate) sent_at: Millis,
     /// Time from the send to the head.
     pub(crate) first_byte: Millis,
     body: Incoming,
@@ -112,6 +113,7 @@
         let (head, body) = match answered {
             Some(Ok(res)) => res.into_parts(),
             Some(Err(CallError::Silent(why) | CallError::Unknown(why))) => {
+                self.broke_run(server, sent_at);
                 return Attempted::Lost(why);
             }
             Some(Err(e @ CallError::Unreachable(_))) => return Attempted::Lost(e.to_string()),
@@ -133,6 +135,7 @@
             server: server.clone(),
             under_way,
             size: self.size,
+            sent_at,
             first_byte: now.since(sent_at),
             body,
             _caller: caller,
--- /dev/null
+++ b/gateway/src/ends.rs
@@ -0,0 +1,60 @@
+//! Finding out whether a server has ended under the runs that broke off there.
+
+use std::io;
+use std::rc::Rc;
+
+use redwingfold_core::{BackendId, BackendServer, Broke, BrokenRun, Millis, ServerState};
+
+use crate::clock::sleep;
+use crate::gateway::Gateway;
+use crate::net::connect;
+
+/// Waits before the looks at whether a server still listens: one whose connections break as it ends may close its
+/// listener a moment later.
+const LOOKS: [Millis; 2] = [Millis(0), Millis(300)];
+
+/// Time within which a connection stands or is refused.
+const LOOK_LIMIT: Millis = Millis(500);
+
+impl Gateway {
+    /// Takes that a run broke off. A server that had announced its end was expected to break what it ran.
+    pub(crate) fn broke(self: &Rc<Self>, server: &BackendServer, run: BrokenRun) {
+        let state = self.with_registry(|r| r.get(&server.id).map(|known| known.state));
+        if state != Some(ServerState::Ready) {
+            return;
+        }
+        let broke = self.ends.borrow_mut().broke(&server.id, run, self.now());
+        match broke {
+            Broke::First => self.spawn(look(self.clone(), server.clone())),
+            Broke::Ended => self.ended_under(&server.id, &[run]),
+            Broke::Waits => {}
+        }
+    }
+
+    /// Takes that a server has ended: it refuses connections, or its record is gone or another start's.
+    pub(crate) fn server_ended(&self, id: &BackendId) {
+        let runs = self.ends.borrow_mut().ended(id, self.now());
+        self.ended_under(id, &runs);
+    }
+
+    fn ended_under(&self, id: &BackendId, runs: &[BrokenRun]) {
+        for run in runs {
+            self.telemetry.count("servers.ended_under", 1);
+            self.telemetry.info("server_ended", &[("server", id), ("content", &run.request)]);
+        }
+    }
+}
+
+/// Looks at whether a server still listens.
+async fn look(gw: Rc<Gateway>, server: BackendServer) {
+    for pause in LOOKS {
+        sleep(pause).await;
+        let refused = match connect(server.addr, LOOK_LIMIT).await {
+            Err(e) => e.kind() == io::ErrorKind::ConnectionRefused,
+            Ok(_) => false,
+        };
+        if refused {
+            return gw.server_ended(&server.id);
+        }
+    }
+}
--- a/gateway/src/flight_log.rs
+++ b/gateway/src/flight_log.rs
@@ -20,6 +20,7 @@
             "attempt_failed",
             &[
                 ("request", &self.facts.id),
+                ("content", &self.fingerprint),
                 ("server", &server.id),
                 ("addr", &server.addr),
                 ("what", &what),
@@ -30,6 +31,21 @@
         );
     }
 
+    /// Writes a line for an answer that broke off after its head.
+    pub(crate) fn log_broken(&self, server: &BackendServer, why: &str) {
+        self.gw.telemetry.count("attempt.broken", 1);
+        self.gw.telemetry.info(
+            "answer_broken",
+            &[
+                ("request", &self.facts.id),
+                ("content", &self.fingerprint),
+                ("server", &server.id),
+                ("why", &why),
+                ("events", &self.events),
+            ],
+        );
+    }
+
     /// Writes a line for an answer that is dropped for a larger model's.
     pub(crate) fn log_larger(&self, size: usize, confidence: u8, larger: usize) {
         self.gw.telemetry.count("request.larger_model", 1);
@@ -66,6 +82,7 @@
             "request",
             &[
                 ("request", &self.facts.id),
+                ("content", &self.fingerprint),
                 ("route", &self.route.name),
                 ("service", &self.service),
                 ("config", &self.catalog.version),
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,7 +9,8 @@
 use event_listener::Event;
 use redwingfold_core::{
     BackendId, BackendServer, Catalog, ConnectTimes, Leads, Millis, Pressure, PutOutcome,
-    ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServiceName, StreamTimes,
+    ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName,
+    StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -62,6 +63,8 @@
     rollouts: RefCell<Rollouts>,
     feeds: RefCell<Feeds>,
     pub(crate) orders: RefCell<Orders>,
+    /// Runs that broke off, and servers that ended.
+    pub(crate) ends: RefCell<ServerEnds>,
     /// Why the operator's topic could not be read the last time.
     pub(crate) orders_trouble: RefCell<Option<String>>,
     /// Other gateways that told how far they know the operator's topic.
@@ -118,6 +121,7 @@
             rollouts: RefCell::new(rollouts),
             feeds: RefCell::new(feeds),
             orders: RefCell::default(),
+            ends: RefCell::default(),
             orders_trouble: RefCell::default(),
             orders_leads: RefCell::default(),
             servers_leads: RefCell::default(),
@@ -206,12 +210,14 @@
     /// Forgets what is believed of a server's earlier start.
     fn started_again(&self, id: &BackendId) {
         self.loads.forget(id);
+        self.server_ended(id);
         self.telemetry.info("server_restarted", &[("server", id)]);
     }
 
     /// Takes the removal of a backend server's record.
     pub fn remove_server(&self, id: &BackendId) {
         self.telemetry.info("server_removed", &[("server", id)]);
+        self.server_ended(id);
         self.registry.borrow_mut().remove(id, self.now());
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -7,9 +7,11 @@
 mod answer;
 mod attempt;
 mod clock;
+mod ends;
 mod exchange;
 mod facts;
 mod feeds;
+mod fingerprint;
 mod flight_log;
 mod gateway;
 mod head_watch;
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -12,6 +12,7 @@
 use crate::answer::{Answer, Failed, close_after, error_answer};
 use crate::clock::within;
 use crate::facts::RequestFacts;
+use crate::fingerprint::fingerprint;
 use crate::gateway::{Gateway, Standing};
 use crate::request::{Asked, Flight};
 
@@ -110,7 +111,9 @@
     })?;
     let customer = customer(&catalog, &route, &facts)?;
     check_ending(gw, &route, &facts)?;
-    let asked = Asked { method: head.method, uri: head.uri, headers: head.headers, body };
+    let fingerprint = fingerprint(&head, host, customer.as_ref(), &body);
+    let asked =
+        Asked { method: head.method, uri: head.uri, headers: head.headers, body, fingerprint };
     Ok((catalog, route, customer, facts, asked))
 }
 
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -68,7 +68,7 @@
                 Ok(ended) => return ended,
                 Err(why) => why,
             };
-            self.flight.broke_at(&begun);
+            self.flight.broke_at(&begun, &why);
             // Dropped first: two servers must not work on one stream.
             drop(begun);
             self.events.drop_piece();
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,8 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, Uri};
 use redwingfold_core::{
-    Arm, BackendId, BackendServer, Catalog, Customer, ErrorKind, EventId, Fault, Millis, Place,
-    Priority, Registry, RepeatUse, Route, RunState, ServerState, ServiceName, Work, place,
+    Arm, BackendId, BackendServer, BrokenRun, Catalog, Customer, ErrorKind, EventId, Fault,
+    Fingerprint, Millis, Place, Priority, Registry, RepeatUse, Route, RunState, ServerState,
+    ServiceName, Work, place,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -32,6 +33,7 @@
     pub(crate) service: ServiceName,
     pub(crate) customer: Option<Customer>,
     pub(crate) facts: RequestFacts,
+    pub(crate) fingerprint: Fingerprint,
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
@@ -67,6 +69,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) fingerprint: Fingerprint,
 }
 
 impl Flight {
@@ -98,6 +101,7 @@
             service,
             customer,
             facts,
+            fingerprint: asked.fingerprint,
             method: asked.method,
             uri: asked.uri,
             headers: asked.headers,
@@ -279,7 +283,7 @@
                 }
                 Err(why) => why,
             };
-            self.failed_at(&begun.server, Fault::Lost);
+            self.broke_at(&begun, &why);
             drop(begun);
             self.check_time()?;
             if !self.try_again() {
@@ -360,10 +364,18 @@
         }
     }
 
-    pub(crate) fn broke_at(&mut self, begun: &Begun) {
+    /// Takes that an answer broke off that had begun.
+    pub(crate) fn broke_at(&mut self, begun: &Begun, why: &str) {
+        self.log_broken(&begun.server, why);
+        self.broke_run(&begun.server, begun.sent_at);
         self.failed_at(&begun.server, Fault::Lost);
     }
 
+    /// Takes that a run broke off, whose server may have ended.
+    pub(crate) fn broke_run(&self, server: &BackendServer, sent_at: Millis) {
+        self.gw.broke(server, BrokenRun { request: self.fingerprint, sent_at });
+    }
+
     /// Chooses a server for the model that is asked; returns it with the time that it will take for
     /// other prompts.
     fn pick(&self) -> Result<(BackendServer, Millis), Failed> {
