--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -1,8 +1,8 @@
 //! A backend server of the platform: a model engine or a plain one, that does what a test plans.
 
 use std::io::{BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -39,6 +39,8 @@
     Later(Duration, u16, Vec<u8>),
     /// Writes these bytes and closes.
     Bytes(Vec<u8>),
+    /// Runs it and crashes after a time: all its connections break, and nobody listens any more.
+    Crash(Duration),
     /// Says that it did not run it.
     NotRun(u16),
     /// Runs it and resets the connection.
@@ -104,6 +106,36 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     running: Arc<AtomicUsize>,
     plan: Arc<Mutex<Arc<Planner>>>,
+    sockets: Arc<Sockets>,
+}
+
+/// What a crash closes.
+#[derive(Debug)]
+struct Sockets {
+    addr: SocketAddr,
+    listener: Mutex<Option<TcpListener>>,
+    open: Mutex<Vec<TcpStream>>,
+    is_down: AtomicBool,
+}
+
+impl Sockets {
+    /// Keeps a connection for the crash; `false` if that has come already.
+    fn keep(&self, stream: &TcpStream) -> bool {
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.extend(stream.try_clone());
+        !self.is_down.load(Ordering::SeqCst)
+    }
+
+    fn close(&self) {
+        self.is_down.store(true, Ordering::SeqCst);
+        let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
+        // Wakes the thread that accepts, which then drops its own handle.
+        listener.map(|l| socket2::SockRef::from(&l).shutdown(Shutdown::Both));
+        let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.drain(..).for_each(|stream| {
+            stream.shutdown(Shutdown::Both).ok();
+        });
+    }
 }
 
 impl std::fmt::Debug for Engine {
@@ -122,17 +154,47 @@
         spec: EngineSpec,
         plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
     ) -> Self {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+        let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
+        Self::start_at(any, spec, Arc::new(Mutex::new(Arc::new(plan))))
+    }
+
+    /// Starts an engine that crashed once more, as another one at the same address.
+    ///
+    /// # Panics
+    ///
+    /// If its port is taken.
+    pub fn successor(&self, id: &str) -> Self {
+        let spec = EngineSpec { id: id.to_owned(), ..self.spec.clone() };
+        Self::start_at(self.own_addr(), spec, self.plan.clone())
+    }
+
+    fn own_addr(&self) -> SocketAddr {
+        self.sockets.addr
+    }
+
+    fn start_at(addr: SocketAddr, spec: EngineSpec, plan: Arc<Mutex<Arc<Planner>>>) -> Self {
+        let listener = TcpListener::bind(addr).expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let sockets = Sockets {
+            addr,
+            listener: Mutex::new(Some(listener.try_clone().expect("a socket"))),
+            open: Mutex::default(),
+            is_down: AtomicBool::new(false),
+        };
         let engine = Self {
             spec,
-            addr: listener.local_addr().expect("an address"),
+            addr,
             arrivals: Arc::default(),
             running: Arc::default(),
-            plan: Arc::new(Mutex::new(Arc::new(plan))),
+            plan,
+            sockets: Arc::new(sockets),
         };
         let serving = engine.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
+            for stream in listener.incoming().map_while(Result::ok) {
+                if !serving.sockets.keep(&stream) {
+                    return;
+                }
                 let engine = serving.clone();
                 std::thread::spawn(move || engine.serve(stream));
             }
@@ -140,6 +202,16 @@
         engine
     }
 
+    /// Says whether it has crashed.
+    pub fn is_down(&self) -> bool {
+        self.sockets.is_down.load(Ordering::SeqCst)
+    }
+
+    /// Breaks all its connections and listens no more.
+    pub fn crash(&self) {
+        self.sockets.close();
+    }
+
     /// Plans something else from now on.
     pub fn set_plan(&self, plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static) {
         *self.plan.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(plan);
@@ -218,6 +290,11 @@
                 writer.write_all(&bytes)?;
                 return Ok(false);
             }
+            Plan::Crash(pause) => {
+                wait_or_gone(out, pause)?;
+                self.crash();
+                return Ok(false);
+            }
             Plan::Reset => {
                 linger_zero(out);
                 return Ok(false);
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -134,6 +134,8 @@
     pub store: Store,
     /// The engines, in the order in which they were added.
     pub engines: Vec<Engine>,
+    /// Engines that crashed and were started anew, as they were before.
+    pub crashed: Vec<Engine>,
     /// The gateways.
     pub gateways: Vec<Gateway>,
     /// Ways to the engines, by id, if the fleet has any.
@@ -162,6 +164,7 @@
         Self {
             store: Store::start(),
             engines: Vec::new(),
+            crashed: Vec::new(),
             gateways: Vec::new(),
             engine_ways: HashMap::new(),
             store_way: None,
@@ -227,6 +230,21 @@
         engine
     }
 
+    /// Starts the engines anew that have crashed, each as another one at its address.
+    pub fn revive(&mut self) {
+        let (down, up) = std::mem::take(&mut self.engines).into_iter().partition(Engine::is_down);
+        self.engines = up;
+        for crashed in down {
+            self.unregister(&crashed);
+            let id = format!("{}+", crashed.spec.id);
+            let mut next = crashed.successor(&id);
+            next.addr = crashed.addr;
+            self.register(&next, "ready");
+            self.engines.push(next);
+            self.crashed.push(crashed);
+        }
+    }
+
     /// Writes an engine's record.
     pub fn register(&self, engine: &Engine, state: &str) {
         self.store.put("keyed.servers", &engine.spec.id, Some(&engine.record(state)));
@@ -328,7 +346,7 @@
 
     /// Returns all requests that arrived at engines.
     pub fn arrivals(&self) -> Vec<Arrival> {
-        self.engines.iter().flat_map(Engine::arrivals).collect()
+        self.crashed.iter().chain(&self.engines).flat_map(Engine::arrivals).collect()
     }
 
     /// Returns the requests of an id that engines ran.
