--- a/core/src/error.rs
+++ b/core/src/error.rs
@@ -138,6 +138,8 @@
     LogAway => 503, "log_away", NotRun, ms(5_000);
     /// Records that wait for the log service fill their memory.
     BacklogFull => 503, "backlog_full", NotRun, ms(30_000);
+    /// Backend servers ended while they ran the request, and it is kept from them.
+    Quarantined => 503, "quarantined", NotRun, ms(30_000);
     /// Too many open connections or requests.
     TooManyOpen => 503, "too_many_open", NotRun, ms(1_000);
     /// A peer sent a frame that cannot be read.
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -50,14 +50,14 @@
 pub use rollout::{SequentialTest, Tally, TestVerdict};
 pub use route::{Denied, Plan, choose_version, plan, session_share};
 pub use serving::{
-    Arm, BackendId, BackendServer, Broke, BrokenRun, CallLimits, Canary, CanaryPolicy, Catalog,
-    ConnectTimes, Counts, Customer, EventId, EventSplitter, ExposureBudget, Fault, FeedHeard,
-    FeedPast, FeedTold, FeedView, Fingerprint, HealthPolicy, Larger, Leads, Members, OrderAge,
-    Owed, Patience, PeerLoad, PeerLoads, Phase, Place, PlacementPolicy, Pressure, Priority,
-    PutOutcome, ReadRates, Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Rises,
-    RolloutOrder, Route, RouteEvidence, RouteName, Sent, ServerEnds, ServerHealth, ServerReport,
-    ServerState, Service, ServiceName, Shared, SilencePolicy, SilenceWatch, SizePolicy, StatusBook,
-    StreamRules, StreamTimes, Times, Unreached, UrgencyPolicy, WholeEvents, Work,
-    is_newest_shorter, place,
+    Admission, Arm, BackendId, BackendServer, Broke, BrokenRun, CallLimits, Canary, CanaryPolicy,
+    Catalog, ConnectTimes, Counts, Customer, EventId, EventSplitter, ExposureBudget, Fault,
+    FeedHeard, FeedPast, FeedTold, FeedView, Fingerprint, HealthPolicy, Larger, Leads, Mark,
+    MarkChange, Members, OrderAge, Owed, Patience, PeerLoad, PeerLoads, Phase, Place,
+    PlacementPolicy, Pressure, Priority, PutOutcome, Quarantine, QuarantinePolicy, ReadRates,
+    Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Rises, RolloutOrder, Route,
+    RouteEvidence, RouteName, Sent, ServerEnds, ServerHealth, ServerReport, ServerState, Service,
+    ServiceName, Shared, SilencePolicy, SilenceWatch, SizePolicy, StatusBook, StreamRules,
+    StreamTimes, Times, Unreached, UrgencyPolicy, WholeEvents, Work, is_newest_shorter, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- /dev/null
+++ b/core/src/serving/quarantine/mark.rs
@@ -0,0 +1,55 @@
+//! What gateways write down of a request under which servers ended.
+
+use std::fmt;
+
+use crate::ids::Millis;
+use crate::serving::catalog::BackendId;
+use crate::serving::fingerprint::Fingerprint;
+
+/// Something that happened to a request. Marks are only added and withdrawn, never changed, so that the order in
+/// which gateways write them does not matter.
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub enum Mark {
+    /// A server ended while it ran the request.
+    End(BackendId),
+    /// It was tried once more, for the time of this number.
+    Trial(u8),
+}
+
+impl fmt::Display for Mark {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::End(server) => write!(f, "end/{server}"),
+            Self::Trial(number) => write!(f, "trial/{number}"),
+        }
+    }
+}
+
+impl Mark {
+    /// Reads the form that it is displayed in; `None` if it is none.
+    ///
+    /// ```
+    /// use redwingfold_core::Mark;
+    /// let marks = [Mark::End("e1".into()), Mark::Trial(2)];
+    /// assert!(marks.iter().all(|mark| Mark::read(&mark.to_string()).as_ref() == Some(mark)));
+    /// assert_eq!(Mark::read("trial/x"), None);
+    /// ```
+    pub fn read(text: &str) -> Option<Self> {
+        match text.split_once('/')? {
+            ("end", server) if !server.is_empty() => Some(Self::End(server.into())),
+            ("trial", number) => number.parse().ok().map(Self::Trial),
+            _ => None,
+        }
+    }
+}
+
+/// A mark that is written or withdrawn.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct MarkChange {
+    /// The request.
+    pub request: Fingerprint,
+    /// The mark.
+    pub mark: Mark,
+    /// How long ago it happened; `None` if the mark is withdrawn.
+    pub age: Option<Millis>,
+}
--- a/core/src/serving/server_ends.rs
+++ b/core/src/serving/server_ends.rs
@@ -37,6 +37,8 @@
 #[derive(Clone, Debug, Default)]
 struct Broken {
     runs: Vec<BrokenRun>,
+    /// Whether it was looked at since the first of them.
+    is_seen: bool,
     has_ended: bool,
     last: Millis,
 }
@@ -86,6 +88,18 @@
         std::mem::take(&mut broken.runs)
     }
 
+    /// Takes that a server was looked at.
+    pub fn looked_at(&mut self, server: &BackendId) {
+        if let Some(broken) = self.servers.get_mut(server) {
+            broken.is_seen = true;
+        }
+    }
+
+    /// Says whether a run broke off at a server that was not looked at yet.
+    pub fn is_unseen(&self, server: &BackendId) -> bool {
+        self.servers.get(server).is_some_and(|broken| !broken.is_seen && !broken.has_ended)
+    }
+
     fn make_room(&mut self, now: Millis) {
         self.servers.retain(|_, broken| now.since(broken.last) < KEPT);
         if self.servers.len() >= MAX_SERVERS {
--- /dev/null
+++ b/core/tests/quarantine.rs
@@ -0,0 +1,169 @@
+//! Requests under which servers end, and others that run beside them, before fleets in virtual time.
+
+mod quarantine_fleet;
+
+use quarantine_fleet::{Load, Played, play};
+use redwingfold_core::{
+    Admission, BackendId, BrokenRun, Fingerprint, Mark, MarkChange, Millis, Quarantine,
+    QuarantinePolicy,
+};
+
+/// Sends of a deadly request that may reach servers once all must know of it.
+const MAX_LATER: usize = 3;
+
+const CALM: Load = Load {
+    gateways: 3,
+    servers: 12,
+    deadly_every: 0,
+    deadly_at_once: 1,
+    popular_every: 100,
+    single_every: 20,
+    loss: 0.02,
+    restart_every: 0,
+    restart_all_every: 0,
+    store_away: Vec::new(),
+    own_ends: None,
+    until: 60_000,
+};
+
+fn seeds(load: &Load, seeds: u64, holds: impl Fn(&Played) -> bool) {
+    for seed in 0..seeds {
+        let played = play(load.clone(), seed);
+        assert!(holds(&played), "seed {seed}: {load:?}: {played:?}");
+    }
+}
+
+/// A deadly request comes five times a second, once in two seconds, once in twenty, or forty at once, at any gateway
+/// of three to 330. Two servers end under it at each gateway that has not heard yet; what the first has written, the
+/// others read within a second, also where no message between them arrives. From then on two trials are left.
+#[test]
+fn deadly_request_reaches_few_servers_however_it_comes() {
+    for (gateways, servers, until, n) in
+        [(3, 12, 60_000, 6), (24, 50, 60_000, 3), (103, 180, 30_000, 2), (330, 400, 15_000, 1)]
+    {
+        for (deadly_every, deadly_at_once) in [(200, 1), (2_000, 1), (20_000, 1), (5_000, 40)] {
+            for loss in [0.02, 1.0] {
+                let load =
+                    Load { gateways, servers, deadly_every, deadly_at_once, loss, until, ..CALM };
+                seeds(&load, n, |played| played.deadly_later <= MAX_LATER);
+            }
+        }
+    }
+}
+
+/// Gateways start anew with empty hands, one every second and a half or all every seven, while the deadly request goes
+/// on coming. What they knew is in the store, and what they learn is never older than two reads.
+#[test]
+fn deadly_request_stays_known_while_gateways_start_anew() {
+    for (restart_every, restart_all_every) in [(1_500, 0), (0, 7_000), (1_500, 7_000)] {
+        for (deadly_every, loss) in [(200, 0.02), (4_000, 1.0), (10_000, 0.02)] {
+            let load = Load { deadly_every, restart_every, restart_all_every, loss, ..CALM };
+            seeds(&load, 20, |played| played.deadly_later <= MAX_LATER);
+        }
+    }
+}
+
+/// The store is away while servers end under the request, for a moment or for ten seconds, also twice. What gateways
+/// saw meanwhile is written once it is back, before the time for contact has passed.
+#[test]
+fn deadly_request_is_known_once_the_store_is_back() {
+    for store_away in
+        [vec![(0, 9_000)], vec![(5_000, 6_000), (9_000, 20_000)], vec![(2_000, 4_000)]]
+    {
+        for (gateways, deadly_every) in [(3, 200), (3, 3_000), (24, 500)] {
+            let store_away = store_away.clone();
+            let load = Load { gateways, servers: 40, deadly_every, store_away, ..CALM };
+            seeds(&load, 10, |played| played.deadly_later <= MAX_LATER);
+        }
+    }
+}
+
+/// A popular request runs on most servers at any time, and so on most that end under a deadly one. It is answered as well,
+/// which the deadly one never is: it is not refused.
+#[test]
+fn popular_request_beside_a_deadly_one_goes_on_being_served() {
+    for (gateways, servers) in [(3, 12), (24, 50), (103, 180)] {
+        for (deadly_every, deadly_at_once) in [(200, 1), (2_000, 10)] {
+            for popular_every in [20, 100, 700] {
+                let load = Load {
+                    gateways,
+                    servers,
+                    deadly_every,
+                    deadly_at_once,
+                    popular_every,
+                    until: 20_000,
+                    ..CALM
+                };
+                seeds(&load, 4, |played| played.popular_refused == 0 && played.single_refused == 0);
+            }
+        }
+    }
+}
+
+/// A third of the servers end every two seconds, or all of them every ten, for reasons of their own: nobody is refused
+/// for that.
+#[test]
+fn requests_on_servers_that_end_by_themselves_go_on_being_served() {
+    for own_ends in [(2_000, 0.33), (10_000, 1.0), (500, 0.1)] {
+        for (gateways, popular_every) in [(3, 20), (3, 300), (24, 50), (103, 100)] {
+            let load = Load {
+                gateways,
+                servers: gateways * 2,
+                popular_every,
+                own_ends: Some(own_ends),
+                until: 30_000,
+                ..CALM
+            };
+            seeds(&load, 4, |played| played.popular_refused == 0 && played.single_refused == 0);
+        }
+    }
+}
+
+/// What is remembered is bounded, in a gateway and in the store, however many requests servers end under.
+#[test]
+fn marks_are_bounded() {
+    let max_suspects = 50;
+    let policy = QuarantinePolicy { max_suspects, ..QuarantinePolicy::default() };
+    let mut quarantine = Quarantine::new(policy);
+    let mut written = std::collections::HashSet::new();
+    for n in 0..10_000 {
+        let run = BrokenRun { request: Fingerprint(n), sent_at: Millis(n * 100) };
+        quarantine.ended(&BackendId::from(n.to_string().as_str()), run, Millis(n * 100));
+        quarantine.gave_up(run.request, Millis(n * 100));
+        let due = quarantine.due(Millis(n * 100), usize::MAX);
+        for MarkChange { request, mark, age } in &due {
+            match age {
+                Some(_) => written.insert((*request, mark.clone())),
+                None => written.remove(&(*request, mark.clone())),
+            };
+        }
+        quarantine.written(&due);
+        assert!(quarantine.counts(Millis(n * 100)).0 <= max_suspects);
+        assert!(written.len() <= max_suspects + 1, "{}", written.len());
+    }
+}
+
+/// Both trials are used up: the request is refused until it is forgotten, a day after its last end.
+#[test]
+fn request_is_tried_twice_and_forgotten_after_a_day() {
+    let policy = QuarantinePolicy::default();
+    let mut quarantine = Quarantine::new(policy);
+    let request = Fingerprint(7);
+    let mark = |mark| MarkChange { request, mark, age: Some(Millis(0)) };
+    let ends = ["a", "b"].map(|server| mark(Mark::End(server.into())));
+    quarantine.hear(&ends, Millis(0));
+    assert_eq!(quarantine.admission(request, Millis(0)), Admission::Trial(1));
+    quarantine.hear(&[mark(Mark::Trial(1))], Millis(100));
+    assert_eq!(quarantine.admission(request, Millis(100)), Admission::Refused(policy.trial_lasts));
+    let left = policy.rest.since(Millis(5_000));
+    assert_eq!(quarantine.admission(request, Millis(5_100)), Admission::Refused(left));
+    let later = policy.rest.after(Millis(100));
+    assert_eq!(quarantine.admission(request, later), Admission::Trial(2));
+    quarantine.hear(&[mark(Mark::Trial(2))], later);
+    let refused = quarantine.admission(request, later.after(policy.rest));
+    assert!(
+        matches!(refused, Admission::Refused(left) if left > Millis(80_000_000)),
+        "{refused:?}"
+    );
+    assert_eq!(quarantine.admission(request, policy.keep.after(later)), Admission::Free);
+}
--- /dev/null
+++ b/core/tests/quarantine_fleet/mod.rs
@@ -0,0 +1,419 @@
+//! A fleet of gateways before servers that end under some requests, in virtual time.
+
+use redwingfold_core::{
+    Admission, BackendId, BrokenRun, FeedHeard, FeedPast, FeedTold, FeedView, Fingerprint, Mark,
+    MarkChange, Millis, Quarantine, QuarantinePolicy,
+};
+
+const STEP: u64 = 10;
+/// Time after which what one gateway learns must be known to all that reach the store.
+pub const CONTACT: u64 = 3_000;
+/// A period of reads.
+const PERIOD: u64 = 600;
+/// Pause after a round of calls of the store.
+const REST: u64 = 200;
+/// Between a message's sending and its being heard.
+const ON_THE_WAY: u64 = 20;
+/// Time until a server that ended is back, as another one.
+const BACK_AFTER: u64 = 3_000;
+/// Time from the end of a server until a gateway has looked whether it still listens.
+const LOOK: u64 = 10;
+const MAX_SENDS: u32 = 3;
+const MAX_TOLD: usize = 24;
+
+/// The request under which each server ends that runs it.
+pub const DEADLY: Fingerprint = Fingerprint(1);
+/// A request that many send.
+pub const POPULAR: Fingerprint = Fingerprint(2);
+
+/// What a fleet has to bear.
+#[derive(Clone, Debug)]
+pub struct Load {
+    pub gateways: usize,
+    pub servers: usize,
+    /// Time between two comings of the deadly request, and how many come at once, at gateways that are drawn.
+    pub deadly_every: u64,
+    pub deadly_at_once: usize,
+    /// Time between two popular requests, and between two that come once.
+    pub popular_every: u64,
+    pub single_every: u64,
+    /// Part of the messages between gateways that are lost.
+    pub loss: f64,
+    /// Time between two restarts of a gateway that is drawn, and of all.
+    pub restart_every: u64,
+    pub restart_all_every: u64,
+    /// Outages of the store: from and until.
+    pub store_away: Vec<(u64, u64)>,
+    /// Time between ends of this part of the servers, for reasons of their own.
+    pub own_ends: Option<(u64, f64)>,
+    pub until: u64,
+}
+
+/// What came of it.
+#[derive(Clone, Debug, Default)]
+pub struct Played {
+    /// Sends of the deadly request by gateways in touch, later than the time for contact after the third end.
+    pub deadly_later: usize,
+    pub deadly_ends: usize,
+    pub deadly_refused: usize,
+    pub popular_sent: usize,
+    pub popular_refused: usize,
+    /// The longest time in which every popular request was refused.
+    pub popular_gap: u64,
+    pub single_sent: usize,
+    pub single_refused: usize,
+    /// Calls of the store, and marks that it has in the end.
+    pub calls: usize,
+    pub marks: usize,
+}
+
+struct Gateway {
+    quarantine: Quarantine,
+    view: FeedView,
+    past: FeedPast<MarkChange>,
+    up_since: u64,
+    /// When it may call the store again, and until when it rests unless something is urgent.
+    not_before: u64,
+    rests_until: u64,
+    claims: Vec<(Flight, u8)>,
+}
+
+#[derive(Clone, Debug)]
+struct Flight {
+    gateway: usize,
+    /// The gateway's start.
+    since: u64,
+    request: Fingerprint,
+    sends: u32,
+    is_trial: bool,
+}
+
+/// A run at a server.
+struct Run {
+    flight: Flight,
+    server: usize,
+    sent_at: u64,
+    ends_at: u64,
+}
+
+struct Server {
+    incarnation: u32,
+    back_at: u64,
+}
+
+struct Told {
+    at: u64,
+    to: usize,
+    from: u64,
+    next: u64,
+    as_of: u64,
+    changes: Vec<MarkChange>,
+}
+
+pub struct World {
+    load: Load,
+    rng: fastrand::Rng,
+    gateways: Vec<Gateway>,
+    servers: Vec<Server>,
+    runs: Vec<Run>,
+    told: Vec<Told>,
+    /// Runs that broke, and when it is known that their server ended.
+    broken: Vec<(u64, Run, BackendId)>,
+    log: Vec<(u64, MarkChange)>,
+    third_end: Option<u64>,
+    popular_served_at: u64,
+    next_single: u64,
+    pub played: Played,
+}
+
+fn gateway(now: u64, fleet: usize) -> Gateway {
+    let mut view = FeedView::new(Millis(PERIOD));
+    view.share_with(fleet);
+    Gateway {
+        quarantine: Quarantine::new(QuarantinePolicy::default()),
+        view,
+        past: FeedPast::new(MAX_TOLD),
+        up_since: now,
+        not_before: now,
+        rests_until: now,
+        claims: Vec::new(),
+    }
+}
+
+/// Plays a load with a seed.
+pub fn play(load: Load, seed: u64) -> Played {
+    let mut world = World {
+        gateways: (0..load.gateways).map(|_| gateway(0, load.gateways)).collect(),
+        servers: (0..load.servers).map(|_| Server { incarnation: 0, back_at: 0 }).collect(),
+        rng: fastrand::Rng::with_seed(seed),
+        runs: Vec::new(),
+        told: Vec::new(),
+        broken: Vec::new(),
+        log: Vec::new(),
+        third_end: None,
+        popular_served_at: 0,
+        next_single: 1_000,
+        played: Played::default(),
+        load,
+    };
+    for now in (0..world.load.until).step_by(STEP as usize) {
+        world.step(now);
+    }
+    let mut there: Vec<_> = world.log.iter().map(|(_, c)| (c.request, &c.mark)).collect();
+    there.sort();
+    there.dedup();
+    let is_there = |key: &(Fingerprint, &Mark)| {
+        let newest = world.log.iter().rev().find(|(_, c)| (c.request, &c.mark) == *key);
+        newest.is_some_and(|(_, change)| change.age.is_some())
+    };
+    world.played.marks = there.iter().filter(|key| is_there(key)).count();
+    world.played
+}
+
+fn every(now: u64, span: u64) -> bool {
+    span > 0 && now > 0 && now % span < STEP
+}
+
+impl World {
+    fn step(&mut self, now: u64) {
+        self.restart(now);
+        self.end_servers(now);
+        self.finish_runs(now);
+        self.learn(now);
+        self.hear(now);
+        self.come(now);
+        (0..self.gateways.len()).for_each(|g| self.call_store(g, now));
+    }
+
+    fn restart(&mut self, now: u64) {
+        let fleet = self.gateways.len();
+        if every(now, self.load.restart_every) {
+            let g = self.rng.usize(..fleet);
+            self.gateways[g] = gateway(now, fleet);
+        }
+        if every(now, self.load.restart_all_every) {
+            (0..fleet).for_each(|g| self.gateways[g] = gateway(now, fleet));
+        }
+        let gateways = &self.gateways;
+        self.runs.retain(|run| gateways[run.flight.gateway].up_since == run.flight.since);
+        self.broken.retain(|(_, run, _)| gateways[run.flight.gateway].up_since == run.flight.since);
+    }
+
+    fn is_store_away(&self, now: u64) -> bool {
+        self.load.store_away.iter().any(|(from, until)| (*from..*until).contains(&now))
+    }
+
+    fn is_in_touch(&self, g: usize, now: u64) -> bool {
+        let since = now.saturating_sub(CONTACT);
+        let calm = self.load.store_away.iter().all(|(from, until)| now < *from || since >= *until);
+        calm && self.gateways[g].up_since <= since
+    }
+
+    /// Requests come.
+    fn come(&mut self, now: u64) {
+        if every(now, self.load.deadly_every) {
+            (0..self.load.deadly_at_once).for_each(|_| self.arrive(DEADLY, now));
+        }
+        if every(now, self.load.popular_every) {
+            self.arrive(POPULAR, now);
+        }
+        if every(now, self.load.single_every) {
+            self.next_single += 1;
+            self.arrive(Fingerprint(self.next_single), now);
+        }
+    }
+
+    fn arrive(&mut self, request: Fingerprint, now: u64) {
+        let gateway = self.rng.usize(..self.gateways.len());
+        let since = self.gateways[gateway].up_since;
+        let flight = Flight { gateway, since, request, sends: 0, is_trial: false };
+        match self.gateways[gateway].quarantine.admission(request, Millis(now)) {
+            Admission::Free => self.send(flight, now),
+            Admission::Refused(_) => self.refuse(request, now),
+            Admission::Trial(number) => {
+                let gateway = &mut self.gateways[gateway];
+                gateway.quarantine.claims(request, Millis(now));
+                gateway.claims.push((flight, number));
+            }
+        }
+    }
+
+    fn refuse(&mut self, request: Fingerprint, now: u64) {
+        match request {
+            DEADLY => self.played.deadly_refused += 1,
+            POPULAR => {
+                self.played.popular_refused += 1;
+                let gap = now - self.popular_served_at;
+                self.played.popular_gap = self.played.popular_gap.max(gap);
+            }
+            _ => self.played.single_refused += 1,
+        }
+    }
+
+    fn send(&mut self, mut flight: Flight, now: u64) {
+        let up: Vec<_> =
+            (0..self.servers.len()).filter(|s| self.servers[*s].back_at <= now).collect();
+        if up.is_empty() {
+            return;
+        }
+        let server = up[self.rng.usize(..up.len())];
+        flight.sends += 1;
+        match flight.request {
+            DEADLY => {
+                let later = self.third_end.is_some_and(|at| now > at + CONTACT);
+                if later && self.is_in_touch(flight.gateway, now) {
+                    self.played.deadly_later += 1;
+                }
+            }
+            POPULAR if flight.sends == 1 => {
+                self.played.popular_sent += 1;
+                self.popular_served_at = now;
+            }
+            _ if flight.sends == 1 => self.played.single_sent += 1,
+            _ => {}
+        }
+        let lasts = match flight.request {
+            DEADLY => self.rng.u64(30..400),
+            _ => self.rng.u64(50..1_500),
+        };
+        self.runs.push(Run { flight, server, sent_at: now, ends_at: now + lasts });
+    }
+
+    fn finish_runs(&mut self, now: u64) {
+        let done: Vec<_> = self.runs.extract_if(.., |run| run.ends_at <= now).collect();
+        let (deadly, good): (Vec<_>, Vec<_>) =
+            done.into_iter().partition(|run| run.flight.request == DEADLY);
+        for run in good {
+            let gateway = &mut self.gateways[run.flight.gateway];
+            gateway.quarantine.completed(run.flight.request, Millis(now));
+        }
+        for run in deadly {
+            let server = run.server;
+            self.runs.push(run);
+            self.played.deadly_ends += 1;
+            if self.played.deadly_ends == 3 {
+                self.third_end = Some(now);
+            }
+            self.end(server, now);
+        }
+    }
+
+    /// A server ends, and all its runs break.
+    fn end(&mut self, server: usize, now: u64) {
+        let id = format!("s{server}-{}", self.servers[server].incarnation);
+        self.servers[server].incarnation += 1;
+        self.servers[server].back_at = now + BACK_AFTER;
+        let broken: Vec<_> = self.runs.extract_if(.., |run| run.server == server).collect();
+        let id = BackendId::from(id.as_str());
+        self.broken.extend(broken.into_iter().map(|run| (now + LOOK, run, id.clone())));
+    }
+
+    fn end_servers(&mut self, now: u64) {
+        let Some((span, part)) = self.load.own_ends else { return };
+        if every(now, span) {
+            for server in 0..self.servers.len() {
+                if self.servers[server].back_at <= now && self.rng.f64() < part {
+                    self.end(server, now);
+                }
+            }
+        }
+    }
+
+    /// Gateways learn of ends, and send what broke once more.
+    fn learn(&mut self, now: u64) {
+        let known: Vec<_> = self.broken.extract_if(.., |(at, ..)| *at <= now).collect();
+        for (_, run, server) in known {
+            let request = run.flight.request;
+            let quarantine = &mut self.gateways[run.flight.gateway].quarantine;
+            quarantine.ended(
+                &server,
+                BrokenRun { request, sent_at: Millis(run.sent_at) },
+                Millis(now),
+            );
+            let may = !run.flight.is_trial && run.flight.sends < MAX_SENDS;
+            match quarantine.admission(request, Millis(now)) {
+                Admission::Free if may => self.send(run.flight, now),
+                Admission::Trial(number) if may => {
+                    quarantine.claims(request, Millis(now));
+                    self.gateways[run.flight.gateway].claims.push((run.flight, number));
+                }
+                _ => quarantine.gave_up(request, Millis(now)),
+            }
+        }
+    }
+
+    fn hear(&mut self, now: u64) {
+        for told in self.told.extract_if(.., |told| told.at <= now).collect::<Vec<_>>() {
+            let gateway = &mut self.gateways[told.to];
+            let from = gateway.view.next();
+            let message =
+                FeedTold { from: told.from, next: told.next, age: Millis(now - told.as_of) };
+            let heard = gateway.view.hear(message, Millis(now), self.rng.u64(..));
+            if let (FeedHeard::Applies, Some(from)) = (heard, from) {
+                gateway.past.add(from, told.next, told.changes.clone());
+                gateway.quarantine.hear(&told.changes, Millis(now));
+            }
+        }
+    }
+
+    fn call_store(&mut self, g: usize, now: u64) {
+        let gateway = &self.gateways[g];
+        let is_write_due = gateway.quarantine.due_at().is_some_and(|at| at.0 <= now);
+        let is_due = gateway.view.is_due(Millis(now)) || is_write_due;
+        let is_rested = gateway.rests_until <= now || !gateway.claims.is_empty();
+        if gateway.not_before > now || !is_rested || (!is_due && gateway.claims.is_empty()) {
+            return;
+        }
+        let claims = std::mem::take(&mut self.gateways[g].claims);
+        self.played.calls += 1;
+        if self.is_store_away(now) {
+            self.gateways[g].not_before = now + self.rng.u64(700..1_600);
+            claims.iter().for_each(|(flight, _)| self.refuse(flight.request, now));
+            return;
+        }
+        for (mut flight, number) in claims {
+            self.read(g, now);
+            if self.gateways[g].quarantine.trials(flight.request) >= number {
+                self.refuse(flight.request, now);
+                continue;
+            }
+            let mark = Mark::Trial(number);
+            self.append(MarkChange { request: flight.request, mark, age: Some(Millis(0)) }, now);
+            flight.is_trial = true;
+            self.send(flight, now);
+        }
+        let due = self.gateways[g].quarantine.due(Millis(now), 500);
+        self.played.calls += usize::from(!due.is_empty());
+        due.iter().for_each(|change| self.append(change.clone(), now));
+        self.gateways[g].quarantine.written(&due);
+        self.read(g, now);
+        self.gateways[g].rests_until = now + REST;
+    }
+
+    fn append(&mut self, change: MarkChange, now: u64) {
+        let made_at = now - change.age.map_or(0, |age| age.0).min(now);
+        self.log.push((made_at, change));
+    }
+
+    fn read(&mut self, g: usize, now: u64) {
+        let end = self.log.len() as u64;
+        let aged = |(at, c): &(u64, MarkChange)| MarkChange {
+            age: c.age.map(|_| Millis(now - at)),
+            ..c.clone()
+        };
+        let gateway = &mut self.gateways[g];
+        let from = gateway.view.next().unwrap_or(0);
+        let changes: Vec<_> = self.log[from as usize..].iter().map(aged).collect();
+        gateway.quarantine.hear(&changes, Millis(now));
+        gateway.view.read(Millis(now), end, self.rng.u64(..));
+        gateway.past.add(from, end, changes);
+        let (from, changes) = gateway.past.told().unwrap_or((end, Vec::new()));
+        for to in (0..self.gateways.len()).filter(|to| *to != g) {
+            if self.rng.f64() >= self.load.loss {
+                let changes = changes.clone();
+                let at = now + ON_THE_WAY;
+                self.told.push(Told { at, to, from, next: end, as_of: now, changes });
+            }
+        }
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -113,12 +113,15 @@
         let (head, body) = match answered {
             Some(Ok(res)) => res.into_parts(),
             Some(Err(CallError::Silent(why) | CallError::Unknown(why))) => {
-                self.broke_run(server, sent_at);
+                self.broke_run(server, sent_at).await;
                 return Attempted::Lost(why);
             }
             Some(Err(e @ CallError::Unreachable(_))) => return Attempted::Lost(e.to_string()),
             None if self.left() == Millis(0) => return Attempted::Lost("deadline".to_owned()),
-            None => return Attempted::Silent,
+            None => {
+                self.broke_run(server, sent_at).await;
+                return Attempted::Silent;
+            }
         };
         let now = gw.now();
         let facts = (gw.dialect.read_answer)(head.status, &head.headers);
--- a/gateway/src/ends.rs
+++ b/gateway/src/ends.rs
@@ -5,7 +5,7 @@
 
 use redwingfold_core::{BackendId, BackendServer, Broke, BrokenRun, Millis, ServerState};
 
-use crate::clock::sleep;
+use crate::clock::{sleep, within};
 use crate::gateway::Gateway;
 use crate::net::connect;
 
@@ -18,17 +18,35 @@
 
 impl Gateway {
     /// Takes that a run broke off. A server that had announced its end was expected to break what it ran.
-    pub(crate) fn broke(self: &Rc<Self>, server: &BackendServer, run: BrokenRun) {
+    ///
+    /// Whether it has ended is looked at beside what goes on. Only a request under which one has ended before waits for
+    /// that: sent on at once, it would meet a third server before the second was known to have ended.
+    pub(crate) async fn broke(self: &Rc<Self>, server: &BackendServer, run: BrokenRun) {
         let state = self.with_registry(|r| r.get(&server.id).map(|known| known.state));
         if state != Some(ServerState::Ready) {
             return;
         }
+        let is_suspect = self.with_quarantine(|q| q.is_suspect(run.request));
         let broke = self.ends.borrow_mut().broke(&server.id, run, self.now());
         match broke {
             Broke::First => self.spawn(look(self.clone(), server.clone())),
             Broke::Ended => self.ended_under(&server.id, &[run]),
             Broke::Waits => {}
         }
+        if is_suspect && broke != Broke::Ended {
+            within(LOOK_LIMIT, self.looked_at(&server.id)).await;
+        }
+    }
+
+    /// Waits until a server was looked at.
+    async fn looked_at(&self, id: &BackendId) {
+        loop {
+            let looked = self.looked.listen();
+            if !self.ends.borrow().is_unseen(id) {
+                return;
+            }
+            looked.await;
+        }
     }
 
     /// Takes that a server has ended: it refuses connections, or its record is gone or another start's.
@@ -36,13 +54,6 @@
         let runs = self.ends.borrow_mut().ended(id, self.now());
         self.ended_under(id, &runs);
     }
-
-    fn ended_under(&self, id: &BackendId, runs: &[BrokenRun]) {
-        for run in runs {
-            self.telemetry.count("servers.ended_under", 1);
-            self.telemetry.info("server_ended", &[("server", id), ("content", &run.request)]);
-        }
-    }
 }
 
 /// Looks at whether a server still listens.
@@ -54,7 +65,12 @@
             Ok(_) => false,
         };
         if refused {
-            return gw.server_ended(&server.id);
+            gw.server_ended(&server.id);
+        }
+        gw.ends.borrow_mut().looked_at(&server.id);
+        gw.looked.notify(usize::MAX);
+        if refused {
+            return;
         }
     }
 }
--- a/gateway/src/exchange/beliefs.rs
+++ b/gateway/src/exchange/beliefs.rs
@@ -61,6 +61,8 @@
         match feed {
             Feed::Orders => f(&mut self.orders_leads.borrow_mut()),
             Feed::Servers => f(&mut self.servers_leads.borrow_mut()),
+            // Few and short, they are read in the store by whoever missed some.
+            Feed::Marks => f(&mut Leads::new()),
         }
     }
 }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -1,6 +1,8 @@
-//! The feeds of the store that gateways read together: orders, and backend servers.
+//! The feeds of the store that gateways read together: orders, backend servers, and marks of requests.
 
-use redwingfold_core::{BackendId, BackendServer, FeedHeard, FeedPast, FeedTold, FeedView, Millis};
+use redwingfold_core::{
+    BackendId, BackendServer, FeedHeard, FeedPast, FeedTold, FeedView, MarkChange, Millis,
+};
 
 /// A feed of the store.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -11,6 +13,8 @@
     /// Backend servers. Its records come many times a second and mostly repeat what is known:
     /// others are told what changed.
     Servers,
+    /// Marks of requests under which servers ended. They are rare and short, and others are told of them.
+    Marks,
 }
 
 /// Who is told of what a feed brought.
@@ -42,27 +46,35 @@
     pub orders: Millis,
     /// Servers, of which one that drains may still get work for a while.
     pub servers: Millis,
+    /// Marks of requests, of which all must know a while after a third server has ended under one.
+    pub marks: Millis,
 }
 
 impl Default for FeedPeriods {
-    /// Fits promises of two seconds.
+    /// Fits promises of two and three seconds.
     fn default() -> Self {
-        Self { orders: Millis(450), servers: Millis(500) }
+        Self { orders: Millis(450), servers: Millis(500), marks: Millis(600) }
     }
 }
 
 /// Changes that a message tells at most; with more, others read themselves.
 const MAX_CHANGES: usize = 12;
 
-/// What is known of both feeds, and what the others have not been told.
+/// The same for marks, each of which takes some 30 bytes.
+const MAX_MARKS: usize = 24;
+
+/// What is known of the feeds, and what the others have not been told.
 #[derive(Debug)]
 pub struct Feeds {
     orders: FeedView,
     servers: FeedView,
     /// Changes of servers, from own reads and from others' messages.
     past: FeedPast<ServerChange>,
+    marks: FeedView,
+    past_marks: FeedPast<MarkChange>,
     untold_orders: Option<(FeedTold, Millis, Reach)>,
     untold_servers: Option<(u64, Millis, Reach)>,
+    untold_marks: Option<(u64, Millis)>,
 }
 
 impl Feeds {
@@ -72,8 +84,11 @@
             orders: FeedView::new(periods.orders),
             servers: FeedView::new(periods.servers),
             past: FeedPast::new(MAX_CHANGES),
+            marks: FeedView::new(periods.marks),
+            past_marks: FeedPast::new(MAX_MARKS),
             untold_orders: None,
             untold_servers: None,
+            untold_marks: None,
         }
     }
 
@@ -81,6 +96,7 @@
     pub(crate) fn share_with(&mut self, fleet: usize) {
         self.orders.share_with(fleet);
         self.servers.share_with(fleet);
+        self.marks.share_with(fleet);
     }
 
     /// Returns how many gateways read together, this one included.
@@ -92,6 +108,7 @@
         match feed {
             Feed::Orders => &mut self.orders,
             Feed::Servers => &mut self.servers,
+            Feed::Marks => &mut self.marks,
         }
     }
 
@@ -188,4 +205,36 @@
         let (from, changes) = self.past.told().unwrap_or((next, Vec::new()));
         Some((FeedTold { from, next, age: now.since(began) }, changes, reach))
     }
+
+    /// Takes an own read of marks that began at `began`, with what it brought.
+    pub(crate) fn read_marks(&mut self, began: Millis, next: u64, changes: Vec<MarkChange>) {
+        let from = self.marks.next().unwrap_or(next);
+        self.marks.read(began, next, fastrand::u64(..));
+        self.past_marks.add(from, next, changes);
+        self.untold_marks = Some((next, began));
+    }
+
+    /// Takes a message on marks and returns those that it brings.
+    pub(crate) fn hear_marks(
+        &mut self,
+        told: FeedTold,
+        changes: Vec<MarkChange>,
+        now: Millis,
+    ) -> Vec<MarkChange> {
+        let from = self.marks.next();
+        match (self.marks.hear(told, now, fastrand::u64(..)), from) {
+            (FeedHeard::Applies, Some(from)) => {
+                self.past_marks.add(from, told.next, changes.clone());
+                changes
+            }
+            _ => Vec::new(),
+        }
+    }
+
+    /// Returns what the others have not been told of marks.
+    pub(crate) fn take_marks(&mut self, now: Millis) -> Option<(FeedTold, Vec<MarkChange>)> {
+        let (next, began) = self.untold_marks.take()?;
+        let (from, changes) = self.past_marks.told().unwrap_or((next, Vec::new()));
+        Some((FeedTold { from, next, age: now.since(began) }, changes))
+    }
 }
--- a/gateway/src/flight_log.rs
+++ b/gateway/src/flight_log.rs
@@ -66,6 +66,7 @@
 impl Drop for Flight {
     /// Writes the request's line: also when its caller has gone, which drops it anywhere.
     fn drop(&mut self) {
+        self.leave_quarantine();
         let gw = &self.gw;
         gw.under_way.set(gw.under_way.get().saturating_sub(1));
         gw.held_bytes.set(gw.held_bytes.get().saturating_sub(self.body.len()));
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -1,7 +1,7 @@
 //! The state of a gateway: what it believes, and what is under way.
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -9,8 +9,8 @@
 use event_listener::Event;
 use redwingfold_core::{
     BackendId, BackendServer, Catalog, ConnectTimes, Leads, Millis, Pressure, PutOutcome,
-    ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName,
-    StreamTimes,
+    Quarantine, ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds,
+    ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -20,6 +20,7 @@
 use crate::facts::Dialect;
 use crate::feeds::{Feeds, ServerChange};
 use crate::load::{LoadTable, short_id};
+use crate::quarantine::Claim;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
 
@@ -65,6 +66,14 @@
     pub(crate) orders: RefCell<Orders>,
     /// Runs that broke off, and servers that ended.
     pub(crate) ends: RefCell<ServerEnds>,
+    /// A server was looked at whose runs broke off.
+    pub(crate) looked: Event,
+    pub(crate) quarantine: RefCell<Quarantine>,
+    pub(crate) claims: RefCell<VecDeque<Claim>>,
+    /// Marks of requests are to be written, or a trial is asked for.
+    pub(crate) marks_moved: Event,
+    /// What the others should know at once is among them.
+    pub(crate) marks_urgent: Cell<bool>,
     /// Why the operator's topic could not be read the last time.
     pub(crate) orders_trouble: RefCell<Option<String>>,
     /// Other gateways that told how far they know the operator's topic.
@@ -105,6 +114,7 @@
         let rollouts = Rollouts::new(settings.canary, settings.session_keep);
         let feeds = Feeds::new(settings.feeds);
         let connect_times = ConnectTimes::new(settings.connect_timeout);
+        let quarantine = Quarantine::new(settings.quarantine);
         Self {
             settings,
             dialect,
@@ -122,6 +132,11 @@
             feeds: RefCell::new(feeds),
             orders: RefCell::default(),
             ends: RefCell::default(),
+            looked: Event::new(),
+            quarantine: RefCell::new(quarantine),
+            claims: RefCell::default(),
+            marks_moved: Event::new(),
+            marks_urgent: Cell::default(),
             orders_trouble: RefCell::default(),
             orders_leads: RefCell::default(),
             servers_leads: RefCell::default(),
--- a/gateway/src/model_choice.rs
+++ b/gateway/src/model_choice.rs
@@ -13,7 +13,7 @@
             }
             _ => {}
         }
-        let may = self.sends < self.route.max_attempts;
+        let may = self.sends < self.route.max_attempts && !self.is_quarantined();
         match self.larger(size, confidence).filter(|_| may) {
             Some(larger) if self.gw.try_repeat(&self.service, RepeatUse::Quality) => {
                 self.log_larger(size, confidence, larger);
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -3,8 +3,8 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{
-    BackendServer, Counts, FeedTold, Incarnation, Millis, ParseIdError, Phase, RouteEvidence, Sent,
-    ServerReport, ServerState, Times,
+    BackendServer, Counts, FeedTold, Fingerprint, Incarnation, Mark, MarkChange, Millis,
+    ParseIdError, Phase, RouteEvidence, Sent, ServerReport, ServerState, Times,
 };
 use serde::{Deserialize, Serialize};
 
@@ -25,6 +25,7 @@
     pub(crate) answered: Vec<u32>,
     pub(crate) orders: Option<FeedWire>,
     pub(crate) servers: Option<(FeedWire, Vec<ChangeWire>)>,
+    pub(crate) marks: Option<(FeedWire, Vec<MarkWire>)>,
     pub(crate) rollouts: Vec<RolloutWire>,
     /// Where other gateways are.
     pub(crate) gateways: Vec<SocketAddr>,
@@ -41,6 +42,16 @@
     Put(Box<ServerWire>),
 }
 
+/// A mark of a request: its fingerprint, what happened, and the milliseconds since, unless it is withdrawn.
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct MarkWire(u64, MarkKindWire, Option<u32>);
+
+#[derive(Debug, Deserialize, PartialEq, Serialize)]
+enum MarkKindWire {
+    End(String),
+    Trial(u8),
+}
+
 #[derive(Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ServerWire {
     id: String,
@@ -127,6 +138,28 @@
     }
 }
 
+impl From<&MarkChange> for MarkWire {
+    fn from(change: &MarkChange) -> Self {
+        let kind = match &change.mark {
+            Mark::End(server) => MarkKindWire::End(server.to_string()),
+            Mark::Trial(number) => MarkKindWire::Trial(*number),
+        };
+        let age = change.age.map(|age| age.0.min(u64::from(u32::MAX)) as u32);
+        Self(change.request.0, kind, age)
+    }
+}
+
+impl From<MarkWire> for MarkChange {
+    fn from(message: MarkWire) -> Self {
+        let mark = match message.1 {
+            MarkKindWire::End(server) => Mark::End(server.as_str().into()),
+            MarkKindWire::Trial(number) => Mark::Trial(number),
+        };
+        let age = message.2.map(|age| Millis(age.into()));
+        Self { request: Fingerprint(message.0), mark, age }
+    }
+}
+
 impl From<&BackendServer> for ServerWire {
     fn from(server: &BackendServer) -> Self {
         Self {
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -59,6 +59,9 @@
 /// Addresses in a message: each takes eight bytes.
 const MAX_ADDRESSES: usize = 150;
 
+/// Marks of requests that fit a datagram beside the news of the other feeds.
+const MAX_LONG_MARKS: usize = 24;
+
 /// Largest datagram that passes common links in one piece.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -183,13 +186,17 @@
     gw.with_feeds(|feeds| {
         let orders = feeds.take_orders(now);
         let servers = feeds.take_servers(now);
-        let reaches = [orders.as_ref().map(|o| o.1), servers.as_ref().map(|s| s.2)];
+        let marks = feeds.take_marks(now);
+        let of_marks = marks.as_ref().map(|_| Reach::All);
+        let reaches = [orders.as_ref().map(|o| o.1), servers.as_ref().map(|s| s.2), of_marks];
         let is_few = reaches.iter().flatten().all(|reach| *reach == Reach::Few);
         let reach = if is_few { Reach::Few } else { Reach::All };
         let servers = servers
             .map(|(told, changes, _)| (told.into(), changes.iter().map(Into::into).collect()));
         let orders = orders.map(|(told, _)| told.into());
-        (PeerMessage { orders, servers, ..PeerMessage::default() }, reach)
+        let marks =
+            marks.map(|(told, changes)| (told.into(), changes.iter().map(Into::into).collect()));
+        (PeerMessage { orders, servers, marks, ..PeerMessage::default() }, reach)
     })
 }
 
@@ -215,8 +222,9 @@
     }
     message.sent.clear();
     message.reports.clear();
-    // Without its changes it would confirm what it does not tell.
+    // Without their changes they would confirm what they do not tell.
     message.servers = None;
+    message.marks = message.marks.filter(|(_, marks)| marks.len() <= MAX_LONG_MARKS);
     let bytes = postcard::to_stdvec(&message).ok()?;
     (bytes.len() <= MAX_DATAGRAM).then_some(bytes)
 }
@@ -265,6 +273,11 @@
             Err(_) => gw.telemetry.count("peers.unreadable", 1),
         }
     }
+    if let Some((told, marks)) = message.marks {
+        let marks = marks.into_iter().map(Into::into).collect();
+        let heard = gw.with_feeds(|feeds| feeds.hear_marks(told.into(), marks, now));
+        gw.hear_marks(from, &heard);
+    }
     for rollout in message.rollouts {
         match RolloutNews::try_from(rollout) {
             Ok(news) => hear_rollout(gw, from, news, now),
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -68,7 +68,7 @@
                 Ok(ended) => return ended,
                 Err(why) => why,
             };
-            self.flight.broke_at(&begun, &why);
+            self.flight.broke_at(&begun, &why).await;
             // Dropped first: two servers must not work on one stream.
             drop(begun);
             self.events.drop_piece();
@@ -186,6 +186,7 @@
             Ended::CallerGone => "caller_gone".to_owned(),
             Ended::Complete => {
                 self.learn_time();
+                self.flight.gw.completed(self.flight.fingerprint);
                 "stream_complete".to_owned()
             }
             Ended::Cut(why) => {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -17,6 +17,7 @@
 use crate::facts::{ModelAsk, RequestFacts};
 use crate::gateway::Gateway;
 use crate::load::short_id;
+use crate::quarantine::Trial;
 use crate::rollouts::{Rollouts, Seen, Sight};
 
 /// Connections that are tried in vain before a request is given up.
@@ -51,6 +52,8 @@
     avoid: Vec<BackendId>,
     unreachable: u32,
     refusals: u32,
+    /// Set if it is sent once more to a server, though servers have ended under it.
+    pub(crate) trial: Option<Trial>,
     /// How it ended, for the log.
     pub(crate) outcome: String,
     pub(crate) server: Option<BackendServer>,
@@ -115,6 +118,7 @@
             avoid: Vec::new(),
             unreachable: 0,
             refusals: 0,
+            trial: None,
             outcome: "caller_gone".to_owned(),
             server: None,
             confidence: None,
@@ -143,6 +147,7 @@
 
     /// Counts a send to a server for the service's roll-out.
     pub(crate) fn count_send(&mut self, server: &BackendServer) {
+        self.trial.iter_mut().for_each(Trial::sent);
         let (reached, now) = (self.reached, self.gw.now());
         let sent = |r: &mut Rollouts| r.sent(&server.service, &server.version, reached, now);
         self.reached = self.gw.with_rollouts(sent).or(reached);
@@ -170,6 +175,7 @@
     ) -> Result<Box<Begun>, Failed> {
         loop {
             self.check_time()?;
+            Box::pin(self.pass_quarantine()).await?;
             let (server, unread) = self.pick()?;
             let run_before = self.run;
             let attempted = Box::pin(self.attempt(&server, unread, resume_after)).await;
@@ -191,7 +197,10 @@
                 Attempted::NotRun(why) => {
                     self.run = run_before;
                     self.refused(&server, &why)?;
-                    if self.sends >= self.route.max_attempts || !self.pay_repeat() {
+                    if self.sends >= self.route.max_attempts
+                        || !self.may_go_on()
+                        || !self.pay_repeat()
+                    {
                         return Err(self.overloaded(why));
                     }
                 }
@@ -279,11 +288,12 @@
                 Ok(bytes) => {
                     begun.under_way.is_read();
                     self.outcome = format!("status_{}", begun.head.status.as_u16());
+                    self.gw.completed(self.fingerprint);
                     return Ok(passed_on(&begun, whole_body(bytes)));
                 }
                 Err(why) => why,
             };
-            self.broke_at(&begun, &why);
+            self.broke_at(&begun, &why).await;
             drop(begun);
             self.check_time()?;
             if !self.try_again() {
@@ -320,8 +330,10 @@
 
     /// Says whether the request may be sent once more after a failure, and pays for it.
     pub(crate) fn try_again(&mut self) -> bool {
-        let may =
-            self.is_repeatable() && self.sends < self.route.max_attempts && self.left() > Millis(0);
+        let may = self.is_repeatable()
+            && self.sends < self.route.max_attempts
+            && self.left() > Millis(0)
+            && self.may_go_on();
         may && self.pay_repeat()
     }
 
@@ -345,6 +357,7 @@
     /// Counts a refusal; the server is passed over, but it did not fail.
     fn refused(&mut self, server: &BackendServer, why: &str) -> Result<(), Failed> {
         self.avoid.push(server.id.clone());
+        self.trial.iter_mut().for_each(Trial::was_not_run);
         self.refusals += 1;
         if self.refusals < MAX_REFUSALS { Ok(()) } else { Err(self.overloaded(why.to_owned())) }
     }
@@ -365,20 +378,20 @@
     }
 
     /// Takes that an answer broke off that had begun.
-    pub(crate) fn broke_at(&mut self, begun: &Begun, why: &str) {
+    pub(crate) async fn broke_at(&mut self, begun: &Begun, why: &str) {
         self.log_broken(&begun.server, why);
-        self.broke_run(&begun.server, begun.sent_at);
         self.failed_at(&begun.server, Fault::Lost);
+        self.broke_run(&begun.server, begun.sent_at).await;
     }
 
     /// Takes that a run broke off, whose server may have ended.
-    pub(crate) fn broke_run(&self, server: &BackendServer, sent_at: Millis) {
-        self.gw.broke(server, BrokenRun { request: self.fingerprint, sent_at });
+    pub(crate) async fn broke_run(&self, server: &BackendServer, sent_at: Millis) {
+        self.gw.broke(server, BrokenRun { request: self.fingerprint, sent_at }).await;
     }
 
     /// Chooses a server for the model that is asked; returns it with the time that it will take for
     /// other prompts.
-    fn pick(&self) -> Result<(BackendServer, Millis), Failed> {
+    pub(crate) fn pick(&self) -> Result<(BackendServer, Millis), Failed> {
         self.pick_for(self.size).ok_or_else(|| self.no_backend())
     }
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,7 +1,8 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, HealthPolicy, Millis, PlacementPolicy, SilencePolicy, SizePolicy, UrgencyPolicy,
+    CanaryPolicy, HealthPolicy, Millis, PlacementPolicy, QuarantinePolicy, SilencePolicy,
+    SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -33,6 +34,8 @@
     pub health: HealthPolicy,
     /// How servers are chosen.
     pub placement: PlacementPolicy,
+    /// When requests are kept from servers that end under them.
+    pub quarantine: QuarantinePolicy,
     /// When silent servers are given up.
     pub silence: SilencePolicy,
     /// When larger models are asked.
@@ -69,6 +72,7 @@
             canary: CanaryPolicy::default(),
             health: HealthPolicy::default(),
             placement: PlacementPolicy::default(),
+            quarantine: QuarantinePolicy::default(),
             silence: SilencePolicy::default(),
             sizes: SizePolicy::default(),
             urgency: UrgencyPolicy::default(),
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -1,5 +1,6 @@
 //! A backend server of the platform: a model engine or a plain one, that does what a test plans.
 
+use std::collections::HashMap;
 use std::io::{BufReader, Write};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
@@ -114,25 +115,30 @@
 struct Sockets {
     addr: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
-    open: Mutex<Vec<TcpStream>>,
+    open: Mutex<HashMap<u64, TcpStream>>,
     is_down: AtomicBool,
 }
 
 impl Sockets {
-    /// Keeps a connection for the crash; `false` if that has come already.
-    fn keep(&self, stream: &TcpStream) -> bool {
+    /// Keeps a connection for the crash, under a number; `false` if that has come already.
+    fn keep(&self, number: u64, stream: &TcpStream) -> bool {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.extend(stream.try_clone());
+        open.extend(stream.try_clone().map(|stream| (number, stream)));
         !self.is_down.load(Ordering::SeqCst)
     }
 
+    /// Lets go of a connection: it is closed when nobody holds it any more.
+    fn let_go(&self, number: u64) {
+        self.open.lock().unwrap_or_else(PoisonError::into_inner).remove(&number);
+    }
+
     fn close(&self) {
         self.is_down.store(true, Ordering::SeqCst);
         let listener = self.listener.lock().unwrap_or_else(PoisonError::into_inner).take();
         // Wakes the thread that accepts, which then drops its own handle.
         listener.map(|l| socket2::SockRef::from(&l).shutdown(Shutdown::Both));
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
-        open.drain(..).for_each(|stream| {
+        open.drain().for_each(|(_, stream)| {
             stream.shutdown(Shutdown::Both).ok();
         });
     }
@@ -191,12 +197,15 @@
         };
         let serving = engine.clone();
         std::thread::spawn(move || {
-            for stream in listener.incoming().map_while(Result::ok) {
-                if !serving.sockets.keep(&stream) {
+            for (number, stream) in (0..).zip(listener.incoming().map_while(Result::ok)) {
+                if !serving.sockets.keep(number, &stream) {
                     return;
                 }
                 let engine = serving.clone();
-                std::thread::spawn(move || engine.serve(stream));
+                std::thread::spawn(move || {
+                    engine.serve(stream);
+                    engine.sockets.let_go(number);
+                });
             }
         });
         engine
