--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -34,6 +34,9 @@
     /// Routes that make the configuration large, and the way to the store slow; each takes 200 bytes.
     #[arg(long, default_value_t = 0)]
     idle_routes: usize,
+    /// A request comes under which each engine ends that runs it.
+    #[arg(long)]
+    deadly: bool,
     /// The gateway's program; by default the one beside this one.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -59,13 +62,15 @@
             engines: args.engines,
             callers: args.callers,
             idle_routes: args.idle_routes,
+            deadly: args.deadly,
         };
         let outcome = play(&settings);
         println!(
-            "seed={} requests={} served={} faults={} broken={}",
+            "seed={} requests={} served={} quarantined={} faults={} broken={}",
             settings.seed,
             outcome.requests,
             outcome.served,
+            outcome.quarantined,
             outcome.faults.len(),
             outcome.broken.len()
         );
--- a/soak/src/checks.rs
+++ b/soak/src/checks.rs
@@ -64,7 +64,9 @@
         claim(head.get("tenant") == Some(request.customer), "ran for another customer");
         claim(head.get("credential").is_none(), "the key was passed on");
         claim(head.line.contains(&request.path), "ran with another path");
-        claim(head.get("expect-instance") == Some(&arrival.server), "not meant for its engine");
+        // Another engine that has the address now refuses it.
+        let is_meant = head.get("expect-instance") == Some(&arrival.server);
+        claim(is_meant || !arrival.ran, "not meant for its engine");
     }
     broken
 }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! processes still differs.
 
 mod checks;
+mod deadly;
 mod faults;
 mod play;
 mod world;
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -5,9 +5,10 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-use redwingfold_standins::platform::{Conn, Engine, Got, StoreFault, message};
+use redwingfold_standins::platform::{Arrival, Conn, Got, StoreFault, message};
 
 use crate::checks::{Seen, violations};
+use crate::deadly;
 use crate::faults::{bring_about, clear_ways, schedule};
 use crate::world::World;
 
@@ -28,6 +29,8 @@
     pub callers: usize,
     /// Routes that make the configuration large; with any, the way to the store is slow in calm times, too.
     pub idle_routes: usize,
+    /// Whether a request comes under which each engine ends that runs it.
+    pub deadly: bool,
 }
 
 /// What came of a play.
@@ -37,6 +40,8 @@
     pub requests: usize,
     /// Of these, answered with success and whole.
     pub served: usize,
+    /// Of these, refused because engines had ended under them, though they are innocent.
+    pub quarantined: usize,
     /// The faults, in order.
     pub faults: Vec<String>,
     /// Promises that were broken.
@@ -46,6 +51,9 @@
 /// Time that a caller waits.
 const PATIENCE: Duration = Duration::from_secs(10);
 
+/// Longest time between two comings of the deadly request, in milliseconds.
+const DEADLY_EVERY: u64 = 800;
+
 /// Time beyond a caller's patience at which an answer counts as held: processes are frozen for
 /// 1.2 s, and the machine may be busy.
 const HELD: Duration = Duration::from_secs(5);
@@ -79,8 +87,20 @@
                 }
             });
         }
+        if settings.deadly {
+            let (stop, addresses) = (&stop, &addresses);
+            let mut rng = fastrand::Rng::with_seed(settings.seed);
+            scope.spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let all = addresses.lock().expect("no caller panics").clone();
+                    deadly::send(&mut rng, &all);
+                    std::thread::sleep(Duration::from_millis(rng.u64(..DEADLY_EVERY)));
+                }
+            });
+        }
         for planned in planned {
             std::thread::sleep(planned.after);
+            world.fleet.revive();
             outcome.faults.push(planned.fault.to_string());
             if let Err(why) = bring_about(&mut world, planned.fault) {
                 outcome.broken.push(why);
@@ -92,14 +112,19 @@
     world.fleet.store.set_fault(StoreFault::None);
     world.mishaps.any.store(0, Ordering::SeqCst);
     clear_ways(&world);
+    world.fleet.revive();
     outcome.broken.extend(recovers(&world));
     outcome.broken.extend(is_up_to_date(&world));
+    if settings.deadly {
+        outcome.broken.extend(deadly::is_known(&mut world, settings.seed));
+    }
     let mut seen = seen.into_inner().expect("no caller panics");
-    let arrivals: Vec<_> = world.fleet.engines.iter().flat_map(Engine::arrivals).collect();
-    let arrivals: Vec<_> = arrivals.into_iter().filter(|a| !a.id().starts_with("after")).collect();
+    let is_checked = |a: &Arrival| !a.id().starts_with("after") && !deadly::is_deadly(a);
+    let arrivals: Vec<_> = world.fleet.arrivals().into_iter().filter(is_checked).collect();
     seen.sort_by(|a, b| a.id.cmp(&b.id));
     outcome.requests = seen.len();
     outcome.served = seen.iter().filter(|s| s.got.status() == 200 && s.got.is_whole).count();
+    outcome.quarantined = seen.iter().filter(|s| s.got.text().starts_with("quarantined")).count();
     outcome.broken.extend(violations(&seen, &arrivals));
     outcome
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -7,6 +7,7 @@
 use redwingfold_standins::LinkFault;
 use redwingfold_standins::platform::{Arrival, Config, Engine, Plan, PlatformFleet, StreamPlan};
 
+use crate::deadly::{ENDS_AFTER, is_deadly};
 use crate::play::Settings;
 
 /// Bytes a second of a slow way to the store: a configuration of 400 kB takes a second.
@@ -115,6 +116,7 @@
         self.next_engine += 1;
         let (mishaps, salt) = (self.mishaps.clone(), self.next_engine * 16);
         let plan = move |arrival: &Arrival| match service {
+            _ if is_deadly(arrival) => Plan::Crash(ENDS_AFTER),
             "plain" => plain(arrival, &mishaps, salt),
             _ => model(arrival, &mishaps, salt),
         };
