--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -175,6 +175,21 @@
         }
     }
 
+    /// Takes that the store cannot be asked for a trial; `true` if this gateway may make one by itself.
+    ///
+    /// Load pattern: the store is away while servers end for reasons of their own. Without this, a request that met two of
+    /// them would be refused until it is back. It is one trial for each gateway, whose mark is written later.
+    pub fn tries_alone(&mut self, request: Fingerprint, trial: u8, now: Millis) -> bool {
+        let until = now.after(self.policy.keep);
+        let Some(suspect) = self.suspects.get_mut(&request) else { return false };
+        let mark = Mark::Trial(trial);
+        let may = trial == 1 && suspect.add(&mark, now, until);
+        if may {
+            self.unwritten.add(request, mark, now, now);
+        }
+        may
+    }
+
     /// Takes that a trial was not sent to any server, so that another one may be.
     pub fn unused(&mut self, request: Fingerprint, trial: u8, now: Millis) {
         if let Some(suspect) = self.suspects.get_mut(&request) {
