--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -179,7 +179,10 @@
                 let max = number("max_kb").unwrap_or(DEFAULT_READ_KB) * 1024;
                 self.read(topic, from, max as usize, number("wait_ms").unwrap_or(0))
             }
-            "/log-newest" => self.lock().page(topic, query.get("after").copied()),
+            "/log-newest" => {
+                let after = query.get("after").map(|after| unescaped(after));
+                self.lock().page(topic, after.as_deref())
+            }
             _ => (404, Vec::new()),
         }
     }
@@ -290,6 +293,21 @@
     }
 }
 
+/// Reads what was escaped in a query.
+fn unescaped(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((first, after)) = rest.split_first() {
+        let hex = after.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        let byte = hex.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        (rest, _) = match (first, byte) {
+            (b'%', Some(byte)) => (&after[2..], bytes.push(byte)),
+            _ => (after, bytes.push(*first)),
+        };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
 fn record(key: &str, value: &str) -> Vec<u8> {
     let mut record = vec![key.len() as u8];
     record.extend_from_slice(key.as_bytes());
