--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -49,7 +49,7 @@
         Self {
             ends: 2,
             trials: 2,
-            rest: Millis(30_000),
+            rest: Millis(5_000),
             trial_lasts: Millis(2_000),
             keep: Millis(24 * 3_600_000),
             hold: Millis(1_000),
