--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -66,12 +66,11 @@
         };
         let outcome = play(&settings);
         println!(
-            "seed={} requests={} served={} quarantined={} never_cleared={} faults={} broken={}",
+            "seed={} requests={} served={} quarantined={} faults={} broken={}",
             settings.seed,
             outcome.requests,
             outcome.served,
             outcome.quarantined,
-            outcome.never_cleared,
             outcome.faults.len(),
             outcome.broken.len()
         );
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -43,8 +43,6 @@
     pub served: usize,
     /// Of these, refused because engines had ended under them, though they are innocent.
     pub quarantined: usize,
-    /// Of these, still refused once nothing disturbs the fleet any more.
-    pub never_cleared: usize,
     /// The faults, in order.
     pub faults: Vec<String>,
     /// Promises that were broken.
@@ -133,7 +131,8 @@
     let refused = |got: &Got| got.text().starts_with("quarantined");
     let innocent: HashSet<_> = seen.iter().filter(|s| refused(&s.got)).map(|s| &s.path).collect();
     outcome.quarantined = seen.iter().filter(|s| refused(&s.got)).count();
-    outcome.never_cleared = innocent.iter().filter(|path| !is_served(&world, path)).count();
+    let never_cleared = innocent.iter().filter(|path| !is_served(&world, path));
+    outcome.broken.extend(never_cleared.map(|path| format!("{path}: innocent, and still refused")));
     outcome.broken.extend(violations(&seen, &arrivals));
     outcome
 }
