--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -10,6 +10,7 @@
 pub use mark::{Mark, MarkChange};
 
 use super::catalog::BackendId;
+use super::feed::wait;
 use super::fingerprint::Fingerprint;
 use super::server_ends::BrokenRun;
 use crate::ids::Millis;
@@ -58,6 +59,9 @@
     }
 }
 
+/// Time within which marks are written again that a store lost as it came back from an older copy.
+const RESTORED_WITHIN: Millis = Millis(1_000);
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -227,17 +231,41 @@
 
     /// Takes all that the store says; what it does not have any more was withdrawn.
     pub fn hear_all(&mut self, marks: &[MarkChange], now: Millis) -> Vec<Fingerprint> {
+        let gone = self.not_among(marks);
+        gone.iter().for_each(|(request, mark)| self.forget(*request, mark));
+        self.hear(marks, now)
+    }
+
+    /// Takes all that the store says after it has come back from an older copy; what that lacks is written again. Each
+    /// gateway of a fleet waits a time by `draw`, a random number, and one that has written lets the others be.
+    ///
+    /// Taken for withdrawn, the marks that the copy lacks would let a request go under which servers have ended.
+    pub fn hear_older_copy(
+        &mut self,
+        marks: &[MarkChange],
+        fleet: usize,
+        now: Millis,
+        draw: u64,
+    ) -> Vec<Fingerprint> {
+        let due = now.after(wait(RESTORED_WITHIN, fleet, draw));
+        for (request, mark) in self.not_among(marks) {
+            let until = self.suspects.get(&request).map_or(now, |suspect| suspect.until);
+            let age = self.policy.keep.since(until.since(now));
+            self.unwritten.add(request, mark, due, now.since(age));
+        }
+        self.hear(marks, now)
+    }
+
+    /// Returns the marks that are known here and are not among some, but for those that wait to be written.
+    fn not_among(&self, marks: &[MarkChange]) -> Vec<(Fingerprint, Mark)> {
         let listed: HashSet<_> = marks.iter().map(|m| (m.request, &m.mark)).collect();
         let known = self.suspects.iter().flat_map(|(request, suspect)| {
             suspect.marks().into_iter().map(|mark| (*request, mark))
         });
-        let gone: Vec<_> = known
-            .filter(|(request, mark)| {
-                !listed.contains(&(*request, mark)) && !self.unwritten.has(*request, mark)
-            })
-            .collect();
-        gone.iter().for_each(|(request, mark)| self.forget(*request, mark));
-        self.hear(marks, now)
+        let is_missing = |(request, mark): &(Fingerprint, Mark)| {
+            !listed.contains(&(*request, mark)) && !self.unwritten.has(*request, mark)
+        };
+        known.filter(is_missing).collect()
     }
 
     /// Returns what is to be written to the store now, at most `max` changes.
--- a/core/src/serving/quarantine/unwritten.rs
+++ b/core/src/serving/quarantine/unwritten.rs
@@ -24,9 +24,9 @@
 }
 
 impl Unwritten {
-    /// Adds a mark that is to be written by a time.
-    pub(super) fn add(&mut self, request: Fingerprint, mark: Mark, due: Millis, now: Millis) {
-        self.put((request, mark), Waiting { made_at: now, due, is_withdrawal: false });
+    /// Adds a mark of a time that is to be written by another.
+    pub(super) fn add(&mut self, request: Fingerprint, mark: Mark, due: Millis, made_at: Millis) {
+        self.put((request, mark), Waiting { made_at, due, is_withdrawal: false });
     }
 
     /// Withdraws marks by a time. One that is due may have been written, though no answer says so.
--- a/core/src/serving/registry.rs
+++ b/core/src/serving/registry.rs
@@ -81,8 +81,13 @@
     servers: HashMap<BackendId, Entry>,
     /// Until when a missing entry may be one that lapsed while the store was away.
     trusted_from: Millis,
+    /// Servers that were removed, and when.
+    departed: HashMap<BackendId, Millis>,
 }
 
+/// Time for which a removed server is remembered: copies from which the store comes back are some seconds old.
+const DEPARTED_KEPT: Millis = Millis(60_000);
+
 #[derive(Clone, Debug)]
 struct Entry {
     server: BackendServer,
@@ -115,6 +120,7 @@
             _ => server.state,
         };
         let server = BackendServer { state, ..server };
+        self.departed.remove(&server.id);
         self.servers.insert(server.id.clone(), Entry { server, gone_at: None });
         outcome
     }
@@ -125,7 +131,7 @@
     /// its record: the server stays for the grace, and goes if no record has come by then.
     pub fn remove(&mut self, id: &BackendId, now: Millis) {
         if now >= self.trusted_from {
-            self.servers.remove(id);
+            self.depart(id, now);
             return;
         }
         if let Some(entry) = self.servers.get_mut(id) {
@@ -133,6 +139,28 @@
         }
     }
 
+    fn depart(&mut self, id: &BackendId, now: Millis) {
+        self.departed.retain(|_, at| now.since(*at) < DEPARTED_KEPT);
+        if self.servers.remove(id).is_some() {
+            self.departed.insert(id.clone(), now);
+        }
+    }
+
+    /// Takes the whole list of a store that has come back from an older copy.
+    ///
+    /// What it lacks may have registered since, and is given the time to do so again. What was removed here and is on it
+    /// has left since the copy was made: one that said nothing of its end goes on for seconds, and got work again. It
+    /// is taken back with its next heartbeat if it lives.
+    pub fn replace_by_copy(&mut self, servers: Vec<BackendServer>, now: Millis) -> Vec<BackendId> {
+        self.store_was_away(now);
+        let is_here = |server: &BackendServer| {
+            let left_at = self.departed.get(&server.id);
+            left_at.is_none_or(|at| now.since(*at) >= DEPARTED_KEPT)
+        };
+        let here = servers.into_iter().filter(is_here).collect();
+        self.replace(here, now)
+    }
+
     /// Takes a whole list: servers that are not on it are removed. Returns those that have started
     /// again.
     ///
@@ -177,9 +205,7 @@
         let over = |entry: &Entry| entry.gone_at.is_some_and(|at| now >= at);
         let gone: Vec<_> =
             self.servers.iter().filter(|(_, e)| over(e)).map(|(id, _)| id.clone()).collect();
-        for id in &gone {
-            self.servers.remove(id);
-        }
+        gone.iter().for_each(|id| self.depart(id, now));
         gone
     }
 
--- a/core/src/serving/status.rs
+++ b/core/src/serving/status.rs
@@ -23,8 +23,13 @@
 #[derive(Clone, Debug, Default)]
 pub struct StatusBook {
     services: HashMap<ServiceName, Entry>,
+    /// Until when others' word on what the store says may be of before it came back from an older copy.
+    doubted_until: Millis,
 }
 
+/// Time after which all gateways have noticed that the store has come back from an older copy.
+const DOUBTED: Millis = Millis(3_000);
+
 #[derive(Clone, Debug)]
 struct Entry {
     target: VersionName,
@@ -48,6 +53,22 @@
         self.services.remove(service);
     }
 
+    /// Doubts what the store said: it has come back from an older copy, and may lack it.
+    ///
+    /// An end that is lost leaves the operator waiting, and a process that starts anew goes on with a version that was
+    /// found bad.
+    pub fn doubt(&mut self, now: Millis) {
+        for entry in self.services.values_mut() {
+            *entry = Entry::new(&entry.target);
+        }
+        self.doubted_until = now.after(DOUBTED);
+    }
+
+    /// Says whether others' word on what the store says is not to be relied on.
+    pub fn is_doubted(&self, now: Millis) -> bool {
+        now < self.doubted_until
+    }
+
     /// Returns how a roll-out ended, if the store says so.
     pub fn ended(&self, service: &ServiceName, target: &VersionName) -> Option<Phase> {
         let entry = self.services.get(service).filter(|entry| entry.target == *target)?;
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -117,8 +117,8 @@
         self.view(feed).next()
     }
 
-    /// Returns the offset up to which a feed was ever known.
-    pub(crate) fn reached(&mut self, feed: Feed) -> Option<u64> {
+    /// Returns the position up to which a feed was ever known.
+    pub fn reached(&mut self, feed: Feed) -> Option<u64> {
         self.view(feed).reached()
     }
 
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -36,6 +36,15 @@
     Ending,
 }
 
+/// Which copy of the store a whole list comes from.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreCopy {
+    /// One that is older than what is known here: the store has come back from it.
+    Older,
+    /// One that has all that it had acknowledged.
+    Present,
+}
+
 /// How a configuration came to a gateway.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ConfigSource {
@@ -74,6 +83,8 @@
     pub(crate) marks_moved: Event,
     /// What the others should know at once is among them.
     pub(crate) marks_urgent: Cell<bool>,
+    /// When the store came back from an older copy.
+    pub(crate) restored_at: Cell<Option<Millis>>,
     /// Why the operator's topic could not be read the last time.
     pub(crate) orders_trouble: RefCell<Option<String>>,
     /// Other gateways that told how far they know the operator's topic.
@@ -137,6 +148,7 @@
             claims: RefCell::default(),
             marks_moved: Event::new(),
             marks_urgent: Cell::default(),
+            restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
             orders_leads: RefCell::default(),
             servers_leads: RefCell::default(),
@@ -256,15 +268,18 @@
         changes.into_iter().filter(is_new).collect()
     }
 
-    /// Takes the whole list of backend servers.
-    pub fn replace_servers(&self, servers: Vec<BackendServer>) {
+    /// Takes the whole list of backend servers, as the store knows it.
+    pub fn replace_servers(&self, servers: Vec<BackendServer>, copy: StoreCopy) {
         let now = self.now();
         let is_first = !self.is_registry_known.get();
         for server in &servers {
             self.rollouts.borrow_mut().saw(&server.service, &server.version, is_first, now);
         }
         self.telemetry.info("servers_listed", &[("servers", &servers.len())]);
-        let restarted = self.registry.borrow_mut().replace(servers, now);
+        let restarted = match copy {
+            StoreCopy::Present => self.registry.borrow_mut().replace(servers, now),
+            StoreCopy::Older => self.registry.borrow_mut().replace_by_copy(servers, now),
+        };
         restarted.iter().for_each(|id| self.started_again(id));
         self.is_registry_known.set(true);
         self.moved.notify(usize::MAX);
@@ -277,6 +292,20 @@
         lapsing.iter().for_each(|(id, left)| registry.lapse(id, as_of.after(*left)));
     }
 
+    /// Takes that the store has come back from an older copy, as its eras say.
+    ///
+    /// What is in force stays so until the store, written again, says otherwise; what others wrote there is written again
+    /// by them, and what gateways wrote by the tasks that wrote it.
+    pub fn store_restored(&self, before: u64, era: u64) {
+        let now = self.now();
+        self.telemetry.count("store.restored", 1);
+        self.telemetry.gauge("store.era", era);
+        self.telemetry.warn("store_restored", &[("era_before", &before), ("era", &era)]);
+        self.restored_at.set(Some(now));
+        self.store_was_away();
+        self.with_rollouts(|r| r.doubt_statuses(now));
+    }
+
     /// Notes that the store that lists the servers was in trouble.
     pub fn store_was_away(&self) {
         self.registry.borrow_mut().store_was_away(self.now());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -42,7 +42,7 @@
     AnswerFacts, AttemptFacts, Dialect, ModelAsk, PromptPart, ReportedLoad, RequestFacts, Usage,
 };
 pub use feeds::{Feed, FeedPeriods, Feeds, ServerChange};
-pub use gateway::{ConfigSource, Gateway, Standing};
+pub use gateway::{ConfigSource, Gateway, Standing, StoreCopy};
 pub use meeting::{Directory, meet};
 pub use net::{bind, connect, with_timeouts};
 pub use peer_table::Peers;
--- a/gateway/src/meeting.rs
+++ b/gateway/src/meeting.rs
@@ -22,6 +22,9 @@
 /// Time between looks at whether it knows anybody.
 const LOOK_EVERY: Millis = Millis(250);
 
+/// Time after which what was written is in any copy from which the store may come back.
+const COPIED_AFTER: Millis = Millis(60_000);
+
 /// The calls by which the addresses of all gateways are read and written. Each ends only when it was done.
 #[derive(Debug)]
 pub struct Directory<R, W> {
@@ -54,8 +57,16 @@
         sleep(FIRST_START).await;
     }
     sleep(Millis(fastrand::u64(0..SPREAD.0))).await;
-    let mut logged = 0;
+    let (mut logged, started, mut rewritten) = (0, gw.now(), None);
     loop {
+        let restored = gw.restored_at.get().filter(|at| rewritten != Some(*at));
+        if let Some(at) = restored {
+            rewritten = Some(at);
+            // An address that is older stands in the copy, too.
+            if at.since(started) < COPIED_AFTER {
+                (directory.write)().await;
+            }
+        }
         if peers.present(gw.now()).is_empty() {
             let known = read(&peers, &mut directory).await;
             if peers.learn(&known, gw.now()) {
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -10,7 +10,7 @@
 use crate::answer::Failed;
 use crate::clock::within;
 use crate::feeds::Feed;
-use crate::gateway::Gateway;
+use crate::gateway::{Gateway, StoreCopy};
 use crate::request::Flight;
 
 /// Longest wait for the store to grant a trial.
@@ -97,15 +97,24 @@
         }
     }
 
-    /// Takes an own read of marks that began at `began` and ended at offset `next`; `is_all` says that it brought all.
-    pub fn read_marks(&self, began: Millis, next: u64, is_all: bool, marks: Vec<MarkChange>) {
+    /// Takes an own read of marks that began at `began` and ended at position `next`; `all_of` is the copy of the store
+    /// if it brought all of them.
+    pub fn read_marks(
+        &self,
+        began: Millis,
+        next: u64,
+        all_of: Option<StoreCopy>,
+        marks: Vec<MarkChange>,
+    ) {
         let now = self.now();
-        let kept = self.with_quarantine(|q| match is_all {
-            true => q.hear_all(&marks, now),
-            false => q.hear(&marks, now),
+        let fleet = self.with_feeds(|feeds| feeds.fleet());
+        let kept = self.with_quarantine(|q| match all_of {
+            None => q.hear(&marks, now),
+            Some(StoreCopy::Present) => q.hear_all(&marks, now),
+            Some(StoreCopy::Older) => q.hear_older_copy(&marks, fleet, now, fastrand::u64(..)),
         });
         self.log_kept(&kept, None);
-        let told = if is_all { Vec::new() } else { marks };
+        let told = if all_of.is_some() { Vec::new() } else { marks };
         self.with_feeds(|feeds| feeds.read_marks(began, next, told));
         self.news.notify(usize::MAX);
     }
--- a/gateway/src/rollout_turns.rs
+++ b/gateway/src/rollout_turns.rs
@@ -17,18 +17,21 @@
         let now = self.now();
         let least = now.since(began);
         let most = known_as_of.map_or(least, |as_of| now.since(as_of));
+        let age = OrderAge { least, most };
+        let (target, window) = (order.target.clone(), order.window);
+        if !self.with_rollouts(|r| r.order(service, order, age, now)) {
+            return;
+        }
         self.telemetry().info(
             "rollout_ordered",
             &[
                 ("service", service),
-                ("target", &order.target),
-                ("window_ms", &order.window),
+                ("target", &target),
+                ("window_ms", &window),
                 ("age_least_ms", &least),
                 ("age_most_ms", &most),
             ],
         );
-        let age = OrderAge { least, most };
-        self.with_rollouts(|r| r.order(service, order, age, now));
     }
 
     /// Moves all roll-outs on.
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -22,6 +22,10 @@
 /// Time to the first byte beside the reading of the prompt: a few steps of a batch.
 const STEP: Millis = Millis(40);
 
+/// Time for which an order is remembered that another one took the place of: copies from which the store comes back
+/// are some seconds old.
+const SUPERSEDED_KEPT: Millis = Millis(60_000);
+
 #[derive(Debug, Default)]
 struct ServiceVersions {
     /// Versions in service.
@@ -31,6 +35,8 @@
     /// Versions that were rolled back.
     withdrawn: HashSet<VersionName>,
     canary: Option<Canary>,
+    /// Orders that another one took the place of, and when.
+    superseded: Vec<(RolloutOrder, Millis)>,
     ended_at: Option<Millis>,
     routes: HashMap<u32, RouteEvidence>,
     others: HashMap<String, (RolloutNews, Millis)>,
@@ -109,18 +115,25 @@
         self.fleet = fleet;
     }
 
-    /// Takes an operator's order.
+    /// Takes an operator's order; `false` if it is known, or another one has taken its place.
     pub(crate) fn order(
         &mut self,
         service: &ServiceName,
         order: RolloutOrder,
         age: OrderAge,
         now: Millis,
-    ) {
+    ) -> bool {
         let versions = self.services.entry(service.clone()).or_default();
         if versions.canary.as_ref().is_some_and(|c| *c.order() == order) {
-            return;
+            return false;
         }
+        // A store that comes back from an older copy has the order before again: carried out once more, it would take a
+        // version out of service that was put there since.
+        versions.superseded.retain(|(_, at)| now.since(*at) < SUPERSEDED_KEPT);
+        if versions.superseded.iter().any(|(earlier, _)| *earlier == order) {
+            return false;
+        }
+        versions.superseded.extend(versions.canary.as_ref().map(|c| (c.order().clone(), now)));
         versions.sighted.remove(&order.target);
         versions.established.remove(&order.target);
         versions.withdrawn.remove(&order.target);
@@ -129,6 +142,7 @@
         versions.ended_at = None;
         versions.canary = Some(Canary::new(self.policy, order, age, now, fastrand::u64(..)));
         self.statuses.forget(service);
+        true
     }
 
     /// Takes what the store says of a roll-out: how it ended, or that it runs. One that another gateway
@@ -148,6 +162,11 @@
         }
     }
 
+    /// Doubts what the store said of roll-outs: it has come back from an older copy.
+    pub(crate) fn doubt_statuses(&mut self, now: Millis) {
+        self.statuses.doubt(now);
+    }
+
     /// Notes that this gateway has written a status. The others hear of it at once, so that they need not
     /// look.
     pub(crate) fn wrote(
@@ -377,6 +396,11 @@
             self.end(&service, Phase::RolledBack, now);
         }
         match recorded {
+            // What others know of the store may be of before it came back from an older copy.
+            Recorded::Ended(phase) if self.statuses.is_doubted(now) => {
+                self.end(&service, phase, now);
+            }
+            _ if self.statuses.is_doubted(now) => {}
             Recorded::Ended(phase) => self.recorded(&service, &target, Some(phase), now),
             Recorded::Running if self.statuses.is_missing(&service, &target, Phase::Trial) => {
                 self.recorded(&service, &target, None, now);
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 
 use bytes::{Bytes, BytesMut};
-use http::{Request, Response, StatusCode, response};
+use http::{HeaderMap, Request, Response, StatusCode, response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
@@ -131,6 +131,11 @@
         self.head.status
     }
 
+    /// Returns the headers.
+    pub fn headers(&self) -> &HeaderMap {
+        &self.head.headers
+    }
+
     /// Returns the length of the body, if the head names it.
     pub fn length(&self) -> Option<u64> {
         self.of
--- a/standins/src/platform/mod.rs
+++ b/standins/src/platform/mod.rs
@@ -12,4 +12,4 @@
 pub use engine::{Arrival, Engine, EngineSpec, Plan, StreamPlan};
 pub use fleet::{Config, Gateway, PlatformFleet, Route, eventually, message, wait_for};
 pub use http::Head;
-pub use store::{Store, StoreFault};
+pub use store::{Store, StoreCopy, StoreFault};
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -29,7 +29,7 @@
     Silent,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Topic {
     first: u64,
     records: Vec<Vec<u8>>,
@@ -41,8 +41,14 @@
     topics: HashMap<String, Topic>,
     fault: StoreFault,
     calls: Vec<String>,
+    /// How often it has come back from a copy.
+    era: u32,
 }
 
+/// A copy of all that a store has.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(HashMap<String, Topic>);
+
 /// A store that runs in this process. Clones share it.
 #[derive(Clone, Debug)]
 pub struct Store {
@@ -119,6 +125,26 @@
         topic.records.clear();
     }
 
+    /// Makes a copy of what it has.
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.lock().topics.clone())
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its offsets are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.topics = copy.0.clone();
+        state.era += 1;
+        drop(state);
+        self.state.1.notify_all();
+    }
+
+    /// Returns the keys of a topic that have a value.
+    pub fn keys(&self, topic: &str) -> Vec<String> {
+        let state = self.lock();
+        state.topics.get(topic).map(|t| t.newest.keys().cloned().collect()).unwrap_or_default()
+    }
+
     /// Returns the calls so far, as method and target.
     pub fn calls(&self) -> Vec<String> {
         self.lock().calls.clone()
@@ -129,10 +155,10 @@
         let mut stream = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut stream) {
             let Ok(body) = read_body(&mut stream, &head, false) else { return };
-            let fault = {
+            let (fault, era) = {
                 let mut state = self.lock();
                 state.calls.push(format!("{} {}", head.word(0), head.word(1)));
-                state.fault
+                (state.fault, state.era)
             };
             let reply = match fault {
                 StoreFault::Silent => {
@@ -147,8 +173,11 @@
                 }
                 StoreFault::LosesAppends | StoreFault::None => self.answer(&head, &body),
             };
-            let text =
-                format!("HTTP/1.1 {} Any\r\nContent-Length: {}\r\n\r\n", reply.0, reply.1.len());
+            let text = format!(
+                "HTTP/1.1 {} Any\r\nStore-Era: {era}\r\nContent-Length: {}\r\n\r\n",
+                reply.0,
+                reply.1.len()
+            );
             if out.write_all(text.as_bytes()).and_then(|()| out.write_all(&reply.1)).is_err() {
                 return;
             }
@@ -244,7 +273,7 @@
     /// Returns records of about `max` bytes in all, but one at least.
     fn read(&self, name: &str, from: u64, max: usize) -> Option<Reply> {
         let topic = self.topics.get(name)?;
-        if from < topic.first {
+        if from < topic.first || from > topic.end() {
             return Some((410, json!({"first": topic.first}).to_string().into_bytes()));
         }
         let records = topic.records.get((from - topic.first) as usize..)?;
