--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -22,6 +22,7 @@
     restart_every: 0,
     restart_all_every: 0,
     store_away: Vec::new(),
+    restores: Vec::new(),
     own_ends: None,
     until: 60_000,
 };
@@ -78,6 +79,35 @@
     }
 }
 
+/// The store comes back from copies that lack the last seconds, also in series, and with them marks that all have read. They
+/// are written again before the time for contact has passed, so that gateways which start anew know of them.
+#[test]
+fn deadly_request_stays_known_while_the_store_comes_back_from_copies() {
+    for (gateways, servers, until, n) in
+        [(3, 12, 60_000, 20), (24, 50, 60_000, 10), (103, 180, 30_000, 3), (330, 400, 20_000, 1)]
+    {
+        for (deadly_every, restart_all_every, loss) in
+            [(200, 0, 0.02), (3_000, 7_000, 0.02), (4_000, 0, 1.0), (1_000, 9_000, 0.3)]
+        {
+            for restores in
+                [vec![(6_000, 5_000)], vec![(4_000, 2_000), (5_500, 3_000), (13_000, 12_000)]]
+            {
+                let load = Load {
+                    gateways,
+                    servers,
+                    deadly_every,
+                    restart_all_every,
+                    loss,
+                    restores,
+                    until,
+                    ..CALM
+                };
+                seeds(&load, n, |played| played.deadly_later <= MAX_LATER);
+            }
+        }
+    }
+}
+
 /// A popular request runs on most servers at any time, and so on most that end under a deadly one. It is answered as well,
 /// which the deadly one never is: it is not refused.
 #[test]
--- a/core/tests/quarantine_fleet/mod.rs
+++ b/core/tests/quarantine_fleet/mod.rs
@@ -18,6 +18,8 @@
 const BACK_AFTER: u64 = 3_000;
 /// Time from the end of a server until a gateway has looked whether it still listens.
 const LOOK: u64 = 10;
+/// Bits of a position that hold the offset; the era stands above.
+const OFFSET_BITS: u32 = 44;
 const MAX_SENDS: u32 = 3;
 const MAX_TOLD: usize = 24;
 
@@ -44,6 +46,8 @@
     pub restart_all_every: u64,
     /// Outages of the store: from and until.
     pub store_away: Vec<(u64, u64)>,
+    /// When the store comes back from a copy, and how old that is.
+    pub restores: Vec<(u64, u64)>,
     /// Time between ends of this part of the servers, for reasons of their own.
     pub own_ends: Option<(u64, f64)>,
     pub until: u64,
@@ -119,7 +123,9 @@
     told: Vec<Told>,
     /// Runs that broke, and when it is known that their server ended.
     broken: Vec<(u64, Run, BackendId)>,
-    log: Vec<(u64, MarkChange)>,
+    /// When each mark was made, and when it was written.
+    log: Vec<(u64, u64, MarkChange)>,
+    era: u64,
     third_end: Option<u64>,
     popular_served_at: u64,
     next_single: u64,
@@ -150,6 +156,7 @@
         told: Vec::new(),
         broken: Vec::new(),
         log: Vec::new(),
+        era: 0,
         third_end: None,
         popular_served_at: 0,
         next_single: 1_000,
@@ -159,12 +166,12 @@
     for now in (0..world.load.until).step_by(STEP as usize) {
         world.step(now);
     }
-    let mut there: Vec<_> = world.log.iter().map(|(_, c)| (c.request, &c.mark)).collect();
+    let mut there: Vec<_> = world.log.iter().map(|(.., c)| (c.request, &c.mark)).collect();
     there.sort();
     there.dedup();
     let is_there = |key: &(Fingerprint, &Mark)| {
-        let newest = world.log.iter().rev().find(|(_, c)| (c.request, &c.mark) == *key);
-        newest.is_some_and(|(_, change)| change.age.is_some())
+        let newest = world.log.iter().rev().find(|(.., c)| (c.request, &c.mark) == *key);
+        newest.is_some_and(|(.., change)| change.age.is_some())
     };
     world.played.marks = there.iter().filter(|key| is_there(key)).count();
     world.played
@@ -177,6 +184,7 @@
 impl World {
     fn step(&mut self, now: u64) {
         self.restart(now);
+        self.restore(now);
         self.end_servers(now);
         self.finish_runs(now);
         self.learn(now);
@@ -199,13 +207,23 @@
         self.broken.retain(|(_, run, _)| gateways[run.flight.gateway].up_since == run.flight.since);
     }
 
+    fn restore(&mut self, now: u64) {
+        let copy = self.load.restores.iter().find(|(at, _)| now >= *at && now < at + STEP);
+        if let Some((_, age)) = copy {
+            let copied_at = now.saturating_sub(*age);
+            self.log.retain(|(_, written_at, _)| *written_at <= copied_at);
+            self.era += 1;
+        }
+    }
+
     fn is_store_away(&self, now: u64) -> bool {
         self.load.store_away.iter().any(|(from, until)| (*from..*until).contains(&now))
     }
 
     fn is_in_touch(&self, g: usize, now: u64) -> bool {
         let since = now.saturating_sub(CONTACT);
-        let calm = self.load.store_away.iter().all(|(from, until)| now < *from || since >= *until);
+        let calm = self.load.store_away.iter().all(|(from, until)| now < *from || since >= *until)
+            && self.load.restores.iter().all(|(at, _)| now < *at || since >= *at);
         calm && self.gateways[g].up_since <= since
     }
 
@@ -392,21 +410,32 @@
 
     fn append(&mut self, change: MarkChange, now: u64) {
         let made_at = now - change.age.map_or(0, |age| age.0).min(now);
-        self.log.push((made_at, change));
+        self.log.push((made_at, now, change));
     }
 
     fn read(&mut self, g: usize, now: u64) {
-        let end = self.log.len() as u64;
-        let aged = |(at, c): &(u64, MarkChange)| MarkChange {
+        let end = (self.era << OFFSET_BITS) | self.log.len() as u64;
+        let aged = |(at, _, c): &(u64, u64, MarkChange)| MarkChange {
             age: c.age.map(|_| Millis(now - at)),
             ..c.clone()
         };
         let gateway = &mut self.gateways[g];
-        let from = gateway.view.next().unwrap_or(0);
-        let changes: Vec<_> = self.log[from as usize..].iter().map(aged).collect();
-        gateway.quarantine.hear(&changes, Millis(now));
+        let known = gateway.view.next().filter(|next| next >> OFFSET_BITS == self.era);
+        let offset = known.map_or(0, |known| known & ((1 << OFFSET_BITS) - 1));
+        let changes: Vec<_> = self.log[offset as usize..].iter().map(aged).collect();
+        let is_older = gateway.view.reached().is_some_and(|was| was >> OFFSET_BITS < self.era);
+        if known.is_none() && is_older {
+            let (fleet, draw) = (gateway.view.fleet(), self.rng.u64(..));
+            gateway.quarantine.hear_older_copy(&changes, fleet, Millis(now), draw);
+        } else {
+            gateway.quarantine.hear(&changes, Millis(now));
+        }
         gateway.view.read(Millis(now), end, self.rng.u64(..));
-        gateway.past.add(from, end, changes);
+        gateway.past.add(
+            known.unwrap_or(end),
+            end,
+            if known.is_some() { changes } else { Vec::new() },
+        );
         let (from, changes) = gateway.past.told().unwrap_or((end, Vec::new()));
         for to in (0..self.gateways.len()).filter(|to| *to != g) {
             if self.rng.f64() >= self.load.loss {
--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -37,6 +37,9 @@
     /// A request comes under which each engine ends that runs it.
     #[arg(long)]
     deadly: bool,
+    /// The store comes back from older copies.
+    #[arg(long)]
+    restores: bool,
     /// The gateway's program; by default the one beside this one.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -63,6 +66,7 @@
             callers: args.callers,
             idle_routes: args.idle_routes,
             deadly: args.deadly,
+            restores: args.restores,
         };
         let outcome = play(&settings);
         println!(
--- a/soak/src/faults.rs
+++ b/soak/src/faults.rs
@@ -144,6 +144,7 @@
                 let engine = world.fleet.engines.remove(0);
                 world.fleet.register(&engine, "draining");
                 world.fleet.unregister(&engine);
+                world.left.insert(engine.spec.id.clone());
                 world.fleet.engines.push(engine);
             }
         }
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod deadly;
 mod faults;
 mod play;
+mod restores;
 mod world;
 
 pub use checks::{Seen, violations};
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -11,6 +11,7 @@
 use crate::checks::{Seen, violations};
 use crate::deadly;
 use crate::faults::{bring_about, clear_ways, schedule};
+use crate::restores::Restores;
 use crate::world::World;
 
 /// What to play.
@@ -32,6 +33,8 @@
     pub idle_routes: usize,
     /// Whether a request comes under which each engine ends that runs it.
     pub deadly: bool,
+    /// Whether the store comes back from older copies.
+    pub restores: bool,
 }
 
 /// What came of a play.
@@ -102,9 +105,13 @@
                 }
             });
         }
+        let mut restores = Restores::new(settings.seed);
         for planned in planned {
             std::thread::sleep(planned.after);
             world.fleet.revive();
+            if settings.restores {
+                outcome.faults.extend(restores.step(&world));
+            }
             outcome.faults.push(planned.fault.to_string());
             if let Err(why) = bring_about(&mut world, planned.fault) {
                 outcome.broken.push(why);
@@ -117,6 +124,9 @@
     world.mishaps.any.store(0, Ordering::SeqCst);
     clear_ways(&world);
     world.fleet.revive();
+    if settings.restores {
+        world.write_again();
+    }
     outcome.broken.extend(recovers(&world));
     outcome.broken.extend(is_up_to_date(&world));
     if settings.deadly {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -1,5 +1,6 @@
 //! The fleet under test, and engines whose misbehaviour is drawn.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::Duration;
@@ -83,6 +84,8 @@
     pub(crate) config: Config,
     /// How the way to the store is while nothing disturbs it.
     pub(crate) calm_way: LinkFault,
+    /// Engines that have drained.
+    pub(crate) left: HashSet<String>,
     next_engine: u64,
 }
 
@@ -98,7 +101,14 @@
             more.map(|more| more.insert("timeout_ms".to_owned(), timeout.into()));
         }
         fleet.publish(&config);
-        let mut world = Self { fleet, mishaps: Arc::default(), config, calm_way, next_engine: 0 };
+        let mut world = Self {
+            fleet,
+            mishaps: Arc::default(),
+            config,
+            calm_way,
+            left: HashSet::new(),
+            next_engine: 0,
+        };
         for _ in 0..settings.engines {
             world.add_engine("plain", "v1");
             world.add_engine("models", "v1");
@@ -123,6 +133,17 @@
         self.fleet.engine_of(&format!("i-{}", self.next_engine), service, version, plan)
     }
 
+    /// The operator and the engines write again what a store has lost.
+    pub(crate) fn write_again(&self) {
+        self.fleet.publish(&self.config);
+        let writes = |engine: &&Engine| !engine.is_down() && !self.left.contains(&engine.spec.id);
+        self.fleet
+            .engines
+            .iter()
+            .filter(writes)
+            .for_each(|engine| self.fleet.register(engine, "ready"));
+    }
+
     /// Publishes the configuration as a new version.
     pub(crate) fn publish(&mut self) {
         self.config.version += 1;
