--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Uri};
+use http::{HeaderMap, Method, StatusCode, Uri};
 use redwingfold_core::{
     Arm, BackendId, BackendServer, BrokenRun, Catalog, Customer, ErrorKind, EventId, Fault,
     Fingerprint, Millis, Place, Priority, Registry, RepeatUse, Route, RunState, ServerState,
@@ -288,7 +288,9 @@
                 Ok(bytes) => {
                     begun.under_way.is_read();
                     self.outcome = format!("status_{}", begun.head.status.as_u16());
-                    self.gw.completed(self.fingerprint);
+                    if is_answered(begun.head.status) {
+                        self.gw.completed(self.fingerprint);
+                    }
                     return Ok(passed_on(&begun, whole_body(bytes)));
                 }
                 Err(why) => why,
@@ -452,6 +454,12 @@
     }
 }
 
+/// Says whether a whole answer shows that a server bears the request. A server that fails, or has no room, may not have
+/// begun with it: such answers would let a request go under which all others end.
+fn is_answered(status: StatusCode) -> bool {
+    !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS
+}
+
 /// Takes servers back that would be left out beyond the share that may be: when most look bad, the
 /// fault is more likely on the way to them, and the few others could not bear the load.
 fn bound_left_out(places: &mut [Place], max_share: f64) {
