--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use event_listener::Event;
 use redwingfold_core::{
     BackendId, BackendServer, Catalog, ConnectTimes, Leads, Millis, Pressure, PutOutcome,
-    Quarantine, ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds,
-    ServiceName, StreamTimes,
+    Quarantine, QuarantinePolicy, ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse,
+    Rises, ServerEnds, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -125,7 +125,10 @@
         let rollouts = Rollouts::new(settings.canary, settings.session_keep);
         let feeds = Feeds::new(settings.feeds);
         let connect_times = ConnectTimes::new(settings.connect_timeout);
-        let quarantine = Quarantine::new(settings.quarantine);
+        // Servers end before many gateways at once; marks that all of them wrote at the same moment would hold each other up.
+        let hold = settings.quarantine.hold;
+        let hold = hold.after(Millis(fastrand::u64(0..=hold.0 / 2)));
+        let quarantine = Quarantine::new(QuarantinePolicy { hold, ..settings.quarantine });
         Self {
             settings,
             dialect,
