--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -62,6 +62,15 @@
 /// Time within which marks are written again that a store lost as it came back from an older copy.
 const RESTORED_WITHIN: Millis = Millis(1_000);
 
+/// Time between withdrawals of marks that keep nothing from servers: what ran on a server when it ended is mostly answered
+/// by another within seconds, at times that all differ, and is withdrawn together.
+const WITHDRAWN_EVERY: Millis = Millis(3_000);
+
+/// Returns the next time for such withdrawals.
+fn next_turn(now: Millis) -> Millis {
+    Millis((now.0 / WITHDRAWN_EVERY.0 + 1) * WITHDRAWN_EVERY.0)
+}
+
 /// What may be done with a request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Admission {
@@ -89,6 +98,8 @@
     suspects: HashMap<Fingerprint, Suspect>,
     proven: Proven,
     unwritten: Unwritten,
+    /// Whether the others should know at once of something that waits to be written.
+    is_urgent: bool,
 }
 
 impl Quarantine {
@@ -113,6 +124,7 @@
             suspects: HashMap::new(),
             proven: Proven::default(),
             unwritten: Unwritten::default(),
+            is_urgent: false,
         }
     }
 
@@ -131,6 +143,7 @@
         self.unwritten.add(run.request, mark, now.after(self.policy.hold), now);
         if ends >= self.policy.ends {
             self.unwritten.hurry(run.request, now);
+            self.is_urgent = true;
         }
         Some(ends)
     }
@@ -147,7 +160,8 @@
         self.proven.completed(request, now);
         let Some(suspect) = self.suspects.remove(&request) else { return false };
         let was_kept = suspect.ends() >= self.policy.ends;
-        let due = if was_kept { now } else { now.after(self.policy.hold) };
+        let due = if was_kept { now } else { next_turn(now) };
+        self.is_urgent |= was_kept;
         self.unwritten.withdraw(request, suspect.marks(), due, now);
         was_kept
     }
@@ -220,6 +234,7 @@
         let left = self.policy.keep.since(*age);
         if left == Millis(0) || self.proven.has(*request, now) {
             self.unwritten.withdraw(*request, vec![mark.clone()], now, now);
+            self.is_urgent = true;
             return false;
         }
         let ends = self.policy.ends;
@@ -273,6 +288,16 @@
         self.unwritten.due(now, max)
     }
 
+    /// Says whether the others should know at once of what waits to be written.
+    pub fn is_urgent(&self) -> bool {
+        self.is_urgent
+    }
+
+    /// Takes that it is about to be written.
+    pub fn take_urgent(&mut self) -> bool {
+        std::mem::take(&mut self.is_urgent)
+    }
+
     /// Returns when something is to be written.
     pub fn due_at(&self) -> Option<Millis> {
         self.unwritten.due_at()
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -81,8 +81,6 @@
     pub(crate) claims: RefCell<VecDeque<Claim>>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
-    /// What the others should know at once is among them.
-    pub(crate) marks_urgent: Cell<bool>,
     /// When the store came back from an older copy.
     pub(crate) restored_at: Cell<Option<Millis>>,
     /// Why the operator's topic could not be read the last time.
@@ -150,7 +148,6 @@
             quarantine: RefCell::new(quarantine),
             claims: RefCell::default(),
             marks_moved: Event::new(),
-            marks_urgent: Cell::default(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
             orders_leads: RefCell::default(),
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -89,10 +89,14 @@
         }
     }
 
-    /// Waits for a time, or until a request asks for a trial or is to be kept from servers.
-    pub async fn rest_from_marks(&self, span: Millis) {
-        let until = self.now().after(span);
-        while self.claims.borrow().is_empty() && !self.marks_urgent.take() && self.now() < until {
+    /// Waits until it is time for calls again: a period of reads, or until a request asks for a trial or is to be kept from
+    /// servers. What happens together is written together, and a gateway that misses many messages reads once.
+    pub async fn rest_from_marks(&self) {
+        let until = self.now().after(self.settings.feeds.marks);
+        while self.claims.borrow().is_empty()
+            && !self.with_quarantine(|q| q.is_urgent())
+            && self.now() < until
+        {
             self.marks_moved(until.since(self.now())).await;
         }
     }
@@ -123,6 +127,9 @@
     pub(crate) fn hear_marks(&self, from: SocketAddr, marks: &[MarkChange]) {
         let kept = self.with_quarantine(|q| q.hear(marks, self.now()));
         self.log_kept(&kept, Some(from));
+        if self.with_quarantine(|q| q.is_urgent()) {
+            self.marks_moved.notify(usize::MAX);
+        }
     }
 
     /// Takes that a server has ended while it ran requests.
@@ -137,7 +144,6 @@
             );
             if ends == Some(self.settings.quarantine.ends) {
                 self.log_kept(&[run.request], None);
-                self.marks_urgent.set(true);
             }
         }
         self.marks_moved.notify(usize::MAX);
@@ -148,7 +154,6 @@
         if self.with_quarantine(|q| q.completed(request, self.now())) {
             self.telemetry.count("quarantine.lifted", 1);
             self.telemetry.info("request_cleared", &[("content", &request)]);
-            self.marks_urgent.set(true);
             self.marks_moved.notify(usize::MAX);
         }
     }
