--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -148,6 +148,18 @@
         Some(ends)
     }
 
+    /// Takes that a request under which a server ended has run on another one for a while: its first end waits on to be
+    /// written, as it will most likely be answered.
+    ///
+    /// Load pattern: a third of 180 servers end at once, and 103 gateways each go on elsewhere with a dozen streams of
+    /// some seconds. Written and withdrawn one by one, their marks were too many to be told, so that each gateway read the
+    /// store for each of the others.
+    pub fn runs_on(&mut self, request: Fingerprint, now: Millis) {
+        if self.is_suspect(request) {
+            self.unwritten.hold(request, now.after(self.policy.hold), now);
+        }
+    }
+
     /// Takes that a request has ended without an answer: what is known of it is not held back any longer.
     pub fn gave_up(&mut self, request: Fingerprint, now: Millis) {
         if self.suspects.contains_key(&request) {
--- a/core/src/serving/quarantine/unwritten.rs
+++ b/core/src/serving/quarantine/unwritten.rs
@@ -57,6 +57,13 @@
         self.waiting.insert(key, waiting);
     }
 
+    /// Holds marks of a request back until a time, unless they are due.
+    pub(super) fn hold(&mut self, request: Fingerprint, until: Millis, now: Millis) {
+        let held = |waiting: &Waiting| !waiting.is_withdrawal && waiting.due > now;
+        let of_request = self.waiting.iter_mut().filter(|((of, _), w)| *of == request && held(w));
+        of_request.for_each(|(_, waiting)| waiting.due = waiting.due.max(until));
+    }
+
     /// Writes what waits of a request at once.
     pub(super) fn hurry(&mut self, request: Fingerprint, now: Millis) {
         let of_request = self.waiting.iter_mut().filter(|((of, _), _)| *of == request);
--- a/core/tests/quarantine.rs
+++ b/core/tests/quarantine.rs
@@ -197,3 +197,25 @@
     );
     assert_eq!(quarantine.admission(request, policy.keep.after(later)), Admission::Free);
 }
+
+/// A server ends under a stream that goes on elsewhere for seconds and is answered: nothing is written of it. If the
+/// next server ends under it as well, both ends are written at once.
+#[test]
+fn first_end_of_a_stream_that_runs_on_waits_to_be_written() {
+    for is_answered in [true, false] {
+        let mut quarantine = Quarantine::new(QuarantinePolicy::default());
+        let run = |sent_at| EndedRun { request: Fingerprint(1), sent_at: Millis(sent_at) };
+        quarantine.ended(&BackendId::from("a"), run(0), Millis(100));
+        for now in (200..6_000).step_by(100) {
+            quarantine.runs_on(Fingerprint(1), Millis(now));
+            assert!(quarantine.due(Millis(now), 9).is_empty());
+        }
+        if is_answered {
+            quarantine.completed(Fingerprint(1), Millis(6_000));
+        } else {
+            quarantine.ended(&BackendId::from("b"), run(200), Millis(6_000));
+        }
+        let due = quarantine.due(Millis(20_000), 9).len();
+        assert_eq!(due, if is_answered { 0 } else { 2 });
+    }
+}
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -19,6 +19,9 @@
 /// Chunks between a server and a caller; a slow caller holds its server back.
 const CHUNKS_IN_FLIGHT: usize = 4;
 
+/// Time after which a stream has run on: servers that end under a request do so within a few tenths of a second.
+const RUNS_ON: Millis = Millis(500);
+
 /// Begins to pass a stream on; the rest goes on in a task of its own.
 pub(crate) fn start(flight: Flight, begun: Box<Begun>) -> Answer {
     let (tx, rx) = bounded(CHUNKS_IN_FLIGHT);
@@ -127,6 +130,7 @@
             if whole.count > 0 {
                 self.count_events(whole.count);
                 begun.under_way.is_read();
+                self.runs_on(begun);
                 if let Some(pause) = pace.events(whole.count, self.flight.gw.now()) {
                     self.flight.saw(begun, Sight::Pace(pause));
                 }
@@ -138,6 +142,14 @@
         }
     }
 
+    /// Notes that a server has run the request for so long that it is most likely not one under which servers end.
+    fn runs_on(&self, begun: &Begun) {
+        let (flight, now) = (&self.flight, self.flight.gw.now());
+        if now.since(begun.sent_at.after(begun.first_byte)) >= RUNS_ON {
+            flight.gw.with_quarantine(|q| q.runs_on(flight.fingerprint, now));
+        }
+    }
+
     /// Counts events for the request's log line: a pause is what makes a stream late that began in time.
     fn count_events(&mut self, count: usize) {
         let now = self.flight.gw.now();
