--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -107,7 +107,7 @@
     ///
     /// ```
     /// use redwingfold_core::{
-    ///     BackendId, EndedRun, Fingerprint, Millis, Quarantine, QuarantinePolicy, Admission,
+    ///     Admission, BackendId, EndedRun, Fingerprint, Millis, Quarantine, QuarantinePolicy,
     /// };
     /// let mut quarantine = Quarantine::new(QuarantinePolicy::default());
     /// let run = |sent_at| EndedRun { request: Fingerprint(7), sent_at: Millis(sent_at) };
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -275,9 +275,7 @@
         let unread = std::mem::take(&mut self.unread);
         self.table.change(&self.server, |known| known.unread = known.unread.since(unread));
     }
-}
 
-impl UnderWay {
     /// Notes that the server has answered the request to its end.
     pub(crate) fn is_answered(&mut self) {
         self.is_settled = true;
