--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways as processes, before a store and engines that run here.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -16,6 +16,12 @@
 
 /// Longest wait for anything in a test.
 const LIMIT: Duration = Duration::from_secs(20);
+/// Least port that a gateway gets: those below are for services that are known by them.
+const LEAST_PORT: u16 = 10_000;
+
+/// First port that the system gives away where it does not say.
+const DEFAULT_FIRST_GIVEN: u16 = 32_768;
+
 const POLL: Duration = Duration::from_millis(5);
 
 /// A route of a test's configuration.
@@ -148,6 +154,8 @@
     pub bounds: Value,
     /// Address of all its hosts that no other fleet of any test has.
     ip: Ipv4Addr,
+    /// Ports of its gateways there, for what they tell each other.
+    pub ports: Vec<u16>,
 }
 
 impl PlatformFleet {
@@ -172,6 +180,7 @@
             folder,
             bounds: json!({}),
             ip: own_address(n),
+            ports: Vec::new(),
         }
     }
 
@@ -270,7 +279,9 @@
     pub fn start_before(&mut self, store: SocketAddr) -> usize {
         let n = self.gateways.len();
         let settings = self.folder.join(format!("boot-{n}.json"));
-        std::fs::write(&settings, self.boot(n, store)).expect("a settings file");
+        let port = free_port(self.ip, &self.ports);
+        self.ports.push(port);
+        std::fs::write(&settings, self.boot(n, store, port)).expect("a settings file");
         let gateway = self.launch(&settings);
         self.gateways.push(gateway);
         n
@@ -297,8 +308,7 @@
         assert!(is_ready, "not in time: a gateway is ready; its log:\n{}", lines());
     }
 
-    fn boot(&self, n: usize, store: SocketAddr) -> String {
-        let port = free_port(self.ip);
+    fn boot(&self, n: usize, store: SocketAddr, port: u16) -> String {
         let bounds = json!({"grace_s": 4.0, "retry_budget_ratio": 0.9, "budget_window_s": 10,
             "session_s": 5});
         json!({
@@ -390,9 +400,25 @@
     Ipv4Addr::new(127, 64 + high % 128, low, 1 + (fleet % 250) as u8)
 }
 
-fn free_port(ip: Ipv4Addr) -> u16 {
-    let free = TcpListener::bind((ip, 0)).and_then(|listener| listener.local_addr());
-    free.expect("a free port").port()
+/// Returns the first port that the system gives to who asks for any.
+fn first_given_port() -> u16 {
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let first = range.ok().and_then(|text| text.split_whitespace().next()?.parse().ok());
+    first.unwrap_or(DEFAULT_FIRST_GIVEN)
+}
+
+/// Returns a free port of an address that nobody else is given.
+///
+/// The pages of another gateway at the same address ask for any port. One of those that the system gives away was free
+/// when it was chosen here, and taken when its gateway started, which ended with "Address already in use".
+fn free_port(ip: Ipv4Addr, taken: &[u16]) -> u16 {
+    let mut ports = std::iter::repeat_with(|| fastrand::u16(LEAST_PORT..first_given_port()));
+    let is_free = |port: &u16| {
+        !taken.contains(port)
+            && TcpListener::bind((ip, *port)).is_ok()
+            && UdpSocket::bind((ip, *port)).is_ok()
+    };
+    ports.find(is_free).expect("an endless choice")
 }
 
 /// Says whether something holds before long.
