--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -24,8 +24,11 @@
     /// Ends of servers under a request from which on it is kept from them. One end says little: all that ran on the
     /// server look alike.
     pub ends: usize,
-    /// Trials of such a request, over all gateways: an innocent one is let go by the first that is answered.
+    /// Trials of such a request, over all gateways: an innocent one is let go by the first that is answered. They are for
+    /// requests of which no trial was seen to end its server; the others have fewer.
     pub trials: u8,
+    /// Trials of a request under which more servers have ended.
+    pub trials_of_more: u8,
     /// Time between two trials.
     pub rest: Millis,
     /// Time for which a trial is waited for.
@@ -39,17 +42,20 @@
 }
 
 impl Default for QuarantinePolicy {
-    /// Two ends and two trials.
+    /// Two ends, and as many trials that a deadly request has three sends at most after its third end, also if nobody saw
+    /// how they ended.
     ///
     /// ```
     /// use redwingfold_core::QuarantinePolicy;
     /// let policy = QuarantinePolicy::default();
-    /// assert_eq!((policy.ends, policy.trials), (2, 2));
+    /// assert!(policy.ends + usize::from(policy.trials) <= 3 + 3);
+    /// assert!(policy.trials_of_more <= 3);
     /// ```
     fn default() -> Self {
         Self {
             ends: 2,
-            trials: 2,
+            trials: 4,
+            trials_of_more: 2,
             rest: Millis(5_000),
             trial_lasts: Millis(2_000),
             keep: Millis(24 * 3_600_000),
--- a/core/src/serving/quarantine/suspect.rs
+++ b/core/src/serving/quarantine/suspect.rs
@@ -53,6 +53,10 @@
         self.marks.iter().map(number).max().unwrap_or(0)
     }
 
+    fn most_trials(&self, policy: &QuarantinePolicy) -> u8 {
+        if self.ends() > policy.ends { policy.trials_of_more } else { policy.trials }
+    }
+
     /// Says what may be done with it once enough servers have ended.
     pub(super) fn admission(&self, policy: &QuarantinePolicy, now: Millis) -> Admission {
         let trials = self.trials();
@@ -61,7 +65,7 @@
             Some(since) if since < policy.trial_lasts => {
                 Admission::Refused(policy.trial_lasts.since(since))
             }
-            _ if trials >= policy.trials => Admission::Refused(self.until.since(now)),
+            _ if trials >= self.most_trials(policy) => Admission::Refused(self.until.since(now)),
             Some(since) if trials > 0 && since < policy.rest => {
                 Admission::Refused(policy.rest.since(since))
             }
