--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -15,15 +15,18 @@
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
 
-use crate::clock::Clock;
+use crate::clock::{Clock, within};
 use crate::exchange::{Orders, WrittenServers};
 use crate::facts::Dialect;
-use crate::feeds::{Feeds, ServerChange};
+use crate::feeds::{Feed, Feeds, ServerChange};
 use crate::load::{LoadTable, short_id};
 use crate::quarantine::Claim;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
 
+/// Time after its start for which a gateway's requests wait for what is known of those under which servers ended.
+const MARKS_PATIENCE: Millis = Millis(1_000);
+
 /// Whether a gateway takes requests.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Standing {
@@ -62,6 +65,7 @@
     pub(crate) dialect: Dialect,
     pub(crate) telemetry: Telemetry,
     pub(crate) clock: Clock,
+    started: Millis,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) loads: LoadTable,
     pub(crate) connections: Cell<usize>,
@@ -101,7 +105,7 @@
     pressure: Cell<Pressure>,
     standing: Cell<Standing>,
     ends_at: Cell<Millis>,
-    moved: Event,
+    pub(crate) moved: Event,
     /// Something that the peers should hear at once.
     pub(crate) news: Event,
 }
@@ -132,6 +136,7 @@
             dialect,
             telemetry,
             clock: Clock,
+            started: Clock.now(),
             executor,
             loads: LoadTable::default(),
             connections: Cell::new(0),
@@ -444,6 +449,22 @@
         }
     }
 
+    /// Waits until it knows under which requests servers have ended; not for long after its start, as the store may be
+    /// away while other gateways tell the rest.
+    ///
+    /// Load pattern: all gateways are lost while a request comes again and again under which servers end. The first
+    /// to be ready sent it to servers before it had read what was known of it.
+    pub(crate) async fn marks_known(&self) {
+        let until = self.started.after(MARKS_PATIENCE);
+        while self.now() < until {
+            let moved = self.moved.listen();
+            if self.with_feeds(|feeds| feeds.next(Feed::Marks)).is_some() {
+                return;
+            }
+            within(until.since(self.now()), moved).await;
+        }
+    }
+
     /// Waits until it only ends what is under way.
     pub(crate) async fn ending(&self) {
         while self.standing() != Standing::Ending {
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -145,7 +145,11 @@
 async fn known_catalog(gw: &Gateway, facts: &RequestFacts) -> Result<Rc<Catalog>, Failed> {
     let patience = facts.patience.unwrap_or(DEFAULT_PATIENCE);
     let limit = Millis(patience.0 / KNOWLEDGE_PART).min(MAX_KNOWLEDGE_WAIT);
-    within(limit, gw.known()).await;
+    within(limit, async {
+        gw.known().await;
+        gw.marks_known().await;
+    })
+    .await;
     gw.catalog().ok_or_else(|| {
         let failed = Failed::new(ErrorKind::NoConfig, "no configuration has been read yet");
         Failed { retry_after: Some(come_back()), ..failed }
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -55,8 +55,8 @@
         self.is_over = true;
     }
 
-    /// Takes that the server says that it did not run the request. The first trial may then be sent once more: in all,
-    /// three sends are allowed, and a server that is full or has just started anew says nothing of the request.
+    /// Takes that the server says that it did not run the request. The first trial may then be sent once more: a server
+    /// that is full or has just started anew says nothing of the request.
     pub(crate) fn was_not_run(&mut self) {
         self.is_over = self.number > 1 || self.sends > 1;
     }
@@ -120,6 +120,7 @@
         self.log_kept(&kept, None);
         let told = if all_of.is_some() { Vec::new() } else { marks };
         self.with_feeds(|feeds| feeds.read_marks(began, next, told));
+        self.moved.notify(usize::MAX);
         self.news.notify(usize::MAX);
     }
 
