--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -94,7 +94,7 @@
 /// rarely. Each id is sent to as many servers as its route allows: of twelve servers ten were down at a time, and a
 /// third of all callers were refused or failed. Here a second end makes the request known, and what is known is in
 /// the store, so that neither lost messages nor lost gateways bring it back: beyond the runs that are under way
-/// by then it reaches two servers more, and they only to let go of a request that was not to blame.
+/// by then it reaches a few servers more, and they only to let go of a request that was not to blame.
 ///
 /// A request that ran beside a deadly one is known by what that one never has, an answer. Each whole answer clears the
 /// request at all gateways, and one that was answered of late is not suspected for single ends of servers.
