--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -1,7 +1,7 @@
 //! Gateways as processes, before a store and engines that run here.
 
 use std::collections::HashMap;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -279,7 +279,7 @@
     pub fn start_before(&mut self, store: SocketAddr) -> usize {
         let n = self.gateways.len();
         let settings = self.folder.join(format!("boot-{n}.json"));
-        let port = free_port(self.ip, &self.ports);
+        let port = own_port(&self.ports);
         self.ports.push(port);
         std::fs::write(&settings, self.boot(n, store, port)).expect("a settings file");
         let gateway = self.launch(&settings);
@@ -407,18 +407,15 @@
     first.unwrap_or(DEFAULT_FIRST_GIVEN)
 }
 
-/// Returns a free port of an address that nobody else is given.
+/// Returns a port of a fleet's own address that nobody else is given.
 ///
-/// The pages of another gateway at the same address ask for any port. One of those that the system gives away was free
-/// when it was chosen here, and taken when its gateway started, which ended with "Address already in use".
-fn free_port(ip: Ipv4Addr, taken: &[u16]) -> u16 {
-    let mut ports = std::iter::repeat_with(|| fastrand::u16(LEAST_PORT..first_given_port()));
-    let is_free = |port: &u16| {
-        !taken.contains(port)
-            && TcpListener::bind((ip, *port)).is_ok()
-            && UdpSocket::bind((ip, *port)).is_ok()
-    };
-    ports.find(is_free).expect("an endless choice")
+/// It is not tried out here. The pages of another gateway at the address ask for any port, and may be given one that was
+/// let go; and a process that another test starts at that moment holds a socket of the trial until it runs its own
+/// program. Either way a gateway ended at its start with "Address already in use".
+fn own_port(taken: &[u16]) -> u16 {
+    let ports = std::iter::repeat_with(|| fastrand::u16(LEAST_PORT..first_given_port()));
+    let mut free = ports.filter(|port| !taken.contains(port));
+    free.next().expect("an endless choice")
 }
 
 /// Says whether something holds before long.
