--- a/soak/tests/checkers.rs
+++ b/soak/tests/checkers.rs
@@ -25,6 +25,7 @@
         body: Vec::new(),
         ran: true,
         left: false,
+        at: std::time::Instant::now(),
     }
 }
 
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -5,7 +5,7 @@
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use super::http::{Head, read_body, read_head};
 
@@ -22,6 +22,8 @@
     pub ran: bool,
     /// Whether its connection was closed while the engine was at work.
     pub left: bool,
+    /// When it arrived.
+    pub at: Instant,
 }
 
 impl Arrival {
@@ -93,8 +95,20 @@
     pub version: String,
     /// Models that it has.
     pub models: Vec<String>,
+    /// Its failure domain.
+    pub domain: String,
 }
 
+/// An engine that has just started.
+#[derive(Clone, Copy, Debug)]
+struct Cold {
+    until: Instant,
+    /// Requests within a second above which it crashes.
+    bears: usize,
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
 type Planner = dyn Fn(&Arrival) -> Plan + Send + Sync;
 
 /// An engine that runs in this process. Clones share it.
@@ -107,6 +121,7 @@
     arrivals: Arc<Mutex<Vec<Arrival>>>,
     running: Arc<AtomicUsize>,
     plan: Arc<Mutex<Arc<Planner>>>,
+    cold: Arc<Mutex<Option<Cold>>>,
     sockets: Arc<Sockets>,
 }
 
@@ -193,6 +208,7 @@
             arrivals: Arc::default(),
             running: Arc::default(),
             plan,
+            cold: Arc::default(),
             sockets: Arc::new(sockets),
         };
         let serving = engine.clone();
@@ -226,6 +242,28 @@
         *self.plan.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(plan);
     }
 
+    /// Makes it cold for a time, in which it crashes if more requests than it `bears` come within a second.
+    pub fn cool(&self, span: Duration, bears: usize) {
+        let cold = Cold { until: Instant::now() + span, bears };
+        *self.cold.lock().unwrap_or_else(PoisonError::into_inner) = Some(cold);
+    }
+
+    fn cold(&self) -> Option<Cold> {
+        let cold = *self.cold.lock().unwrap_or_else(PoisonError::into_inner);
+        cold.filter(|cold| cold.until > Instant::now())
+    }
+
+    /// Returns the most requests that arrived within any second while it was cold.
+    pub fn most_while_cold(&self) -> usize {
+        let until = self.cold.lock().unwrap_or_else(PoisonError::into_inner).map(|cold| cold.until);
+        let mut arrivals: Vec<_> = self.arrivals().iter().map(|arrival| arrival.at).collect();
+        arrivals.retain(|at| until.is_some_and(|until| *at < until));
+        let within = |first: &Instant| {
+            arrivals.iter().filter(|at| *at >= first && **at < *first + SECOND).count()
+        };
+        arrivals.iter().map(within).max().unwrap_or(0)
+    }
+
     /// Returns the requests that arrived, in order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.arrivals.lock().unwrap_or_else(PoisonError::into_inner).clone()
@@ -235,10 +273,12 @@
     pub fn record(&self, state: &str) -> String {
         let models: Vec<_> =
             self.spec.models.iter().map(|m| serde_json::json!({"name": m, "version": 1})).collect();
+        let now = Instant::now();
+        let cold_left = self.cold().map_or(Duration::ZERO, |cold| cold.until - now);
         serde_json::json!({
-            "service": self.spec.service, "address": self.addr.to_string(), "zone": "hall-1",
-            "version": self.spec.version, "slots": 8, "state": state, "cold_left_ms": 0,
-            "models": models, "call_seq": 0,
+            "service": self.spec.service, "address": self.addr.to_string(),
+            "zone": self.spec.domain, "version": self.spec.version, "slots": 8, "state": state,
+            "cold_left_ms": cold_left.as_millis() as u64, "models": models, "call_seq": 0,
         })
         .to_string()
     }
@@ -249,8 +289,8 @@
         let mut stream = BufReader::new(stream);
         while let Ok(Some(head)) = read_head(&mut stream) {
             let Ok(body) = read_body(&mut stream, &head, false) else { return };
-            let arrival =
-                Arrival { server: self.spec.id.clone(), head, body, ran: false, left: false };
+            let (server, at) = (self.spec.id.clone(), Instant::now());
+            let arrival = Arrival { server, head, body, ran: false, left: false, at };
             if !self.answer(&out, arrival) {
                 return;
             }
@@ -272,6 +312,9 @@
             arrivals.len() - 1
         };
         self.running.fetch_add(1, Ordering::SeqCst);
+        if self.cold().is_some_and(|cold| self.most_while_cold() > cold.bears) {
+            self.crash();
+        }
         let kept = self.carry_out(out, &arrival, plan);
         self.running.fetch_sub(1, Ordering::SeqCst);
         if kept.is_err() {
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -50,6 +50,10 @@
     pub limits: Value,
     /// Routes beside those, to make it long; each takes about 200 bytes.
     pub idle_routes: usize,
+    /// What it says of services.
+    pub services: Value,
+    /// Anything else that it says of each customer, over the defaults.
+    pub customers: Value,
 }
 
 impl Default for Config {
@@ -75,6 +79,8 @@
             keys: vec![("ani", vec!["key-ani"]), ("haus", vec!["key-haus"])],
             limits: none,
             idle_routes: 0,
+            services: json!([]),
+            customers: json!({}),
         }
     }
 }
@@ -84,11 +90,13 @@
     pub fn text(&self) -> String {
         let mut routes: Vec<_> = self.routes.iter().map(route_json).collect();
         routes.extend((0..self.idle_routes).map(idle_route_json));
-        let tenants: Vec<_> =
-            self.keys.iter().map(|(name, keys)| json!({"name": name, "api_keys": keys})).collect();
+        let customer = |(name, keys): &(&str, Vec<&str>)| {
+            merged(json!({"name": name, "api_keys": keys}), &self.customers)
+        };
+        let tenants: Vec<_> = self.keys.iter().map(customer).collect();
         let limits = json!({"max_header_bytes": 16384, "max_body_bytes": 100_000,
             "header_timeout_ms": 3000, "idle_timeout_ms": 15000});
-        json!({"version": self.version, "routes": routes, "services": [], "tenants": tenants,
+        json!({"version": self.version, "routes": routes, "services": self.services, "tenants": tenants,
             "limits": merged(limits, &self.limits)})
         .to_string()
     }
@@ -133,6 +141,17 @@
     pub settings: PathBuf,
 }
 
+fn spec(id: &str, service: &str, version: &str, domain: &str) -> EngineSpec {
+    let models: &[&str] = if service == "models" { &["s", "m", "l"] } else { &[] };
+    EngineSpec {
+        id: id.to_owned(),
+        service: service.to_owned(),
+        version: version.to_owned(),
+        models: models.iter().map(|model| (*model).to_owned()).collect(),
+        domain: domain.to_owned(),
+    }
+}
+
 /// A store, engines, and gateways before them.
 #[derive(Debug)]
 pub struct PlatformFleet {
@@ -152,6 +171,8 @@
     folder: PathBuf,
     /// Bounds that differ from the defaults.
     pub bounds: Value,
+    /// Regions of failure domains, as settings files name them.
+    pub regions: Value,
     /// Address of all its hosts that no other fleet of any test has.
     ip: Ipv4Addr,
     /// Ports of its gateways there, for what they tell each other.
@@ -179,6 +200,7 @@
             program: Path::new(program).to_owned(),
             folder,
             bounds: json!({}),
+            regions: json!({"hall-1": "region-1"}),
             ip: own_address(n),
             ports: Vec::new(),
         }
@@ -218,27 +240,56 @@
         version: &str,
         plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
     ) -> Engine {
-        let models = match service {
-            "models" => ["s", "m", "l"].map(str::to_owned).to_vec(),
-            _ => Vec::new(),
-        };
-        let spec = EngineSpec {
-            id: id.to_owned(),
-            service: service.to_owned(),
-            version: version.to_owned(),
-            models,
-        };
+        self.engine_spec(spec(id, service, version, "hall-1"), None, plan)
+    }
+
+    /// Starts an engine in a failure domain and registers it.
+    pub fn engine_in(
+        &mut self,
+        domain: &str,
+        id: &str,
+        service: &str,
+        plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
+    ) -> Engine {
+        self.engine_spec(spec(id, service, "v1", domain), None, plan)
+    }
+
+    /// Starts an engine that is cold for a time, in which it bears so many requests within a second, and registers it.
+    pub fn cold_engine(
+        &mut self,
+        id: &str,
+        service: &str,
+        (span, bears): (Duration, usize),
+        plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
+    ) -> Engine {
+        self.engine_spec(spec(id, service, "v1", "hall-1"), Some((span, bears)), plan)
+    }
+
+    fn engine_spec(
+        &mut self,
+        spec: EngineSpec,
+        cold: Option<(Duration, usize)>,
+        plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
+    ) -> Engine {
+        let id = spec.id.clone();
         let mut engine = Engine::start(spec, plan);
+        cold.iter().for_each(|(span, bears)| engine.cool(*span, *bears));
         if self.store_way.is_some() {
             let way = TcpProxy::start(engine.addr).expect("a way to the engine");
             engine.addr = way.addr;
-            self.engine_ways.insert(id.to_owned(), way);
+            self.engine_ways.insert(id, way);
         }
         self.register(&engine, "ready");
         self.engines.push(engine.clone());
         engine
     }
 
+    /// Orders a failure domain to be emptied, or takes that back.
+    pub fn empty(&self, domain: &str, is_ordered: bool) {
+        let key = format!("evacuate/{domain}");
+        self.store.put("keyed.op", &key, is_ordered.then_some("{}"));
+    }
+
     /// Starts the engines anew that have crashed, each as another one at its address.
     pub fn revive(&mut self) {
         let (down, up) = std::mem::take(&mut self.engines).into_iter().partition(Engine::is_down);
@@ -313,6 +364,7 @@
             "session_s": 5});
         json!({
             "node_name": format!("gateway-{n}"), "zone": "hall-1", "ip": self.ip,
+            "zones": self.regions,
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
             "port_range": [port, port],
             "limits": {"memory_mb": 200, "max_fds": 2000},
