feat: empty failure domains as the operator orders it

Callers' requests reached servers of a domain that was to be emptied, on every path. Cause: keys of the operator's topic other than the configuration and roll-outs were passed over. Ruled out: a late read; the order was in what gateways had read.

Every choice of a server goes through one filter, so first sends, repeats, larger models, resumed streams and trials all keep to it; what runs there goes on.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -5,6 +5,7 @@
 mod canary;
 mod catalog;
 mod connect_time;
+mod evacuations;
 mod events;
 mod exposure;
 mod feed;
@@ -33,6 +34,7 @@
     ServiceName, StreamRules,
 };
 pub use connect_time::ConnectTimes;
+pub use evacuations::{EvacuationChange, Evacuations};
 pub use events::{EventId, EventSplitter, WholeEvents};
 pub use exposure::{ExposureBudget, Sent};
 pub use feed::{FeedHeard, FeedPast, FeedTold, FeedView, is_newest_shorter};
--- /dev/null
+++ b/gateway/src/evacuation.rs
@@ -0,0 +1,65 @@
+//! Emptying failure domains as the operator orders it.
+
+use redwingfold_core::{EvacuationChange, Evacuations, FailureDomain, Millis};
+
+use crate::gateway::{Gateway, StoreCopy};
+
+impl Gateway {
+    /// Takes the operator's order to empty a failure domain, or that it is taken back.
+    pub fn order_evacuation(&self, domain: &FailureDomain, is_ordered: bool) {
+        let change = self.with_evacuations(|e, now| match is_ordered {
+            true => e.order(domain, now),
+            false => e.take_back(domain, now),
+        });
+        self.log_evacuations(&change.into_iter().collect::<Vec<_>>());
+    }
+
+    /// Takes all orders to empty failure domains that stand, as a copy of the store has them.
+    pub fn replace_evacuations(&self, orders: &[FailureDomain], copy: StoreCopy) {
+        let changes = self.with_evacuations(|e, now| match copy {
+            StoreCopy::Present => e.replace(orders, now),
+            StoreCopy::Older => e.replace_by_copy(orders, now),
+        });
+        self.log_evacuations(&changes);
+    }
+
+    /// Ends orders that a store from an older copy lacks, and that were not written again.
+    pub fn expire_evacuations(&self) {
+        let changes = self.with_evacuations(Evacuations::expire);
+        self.log_evacuations(&changes);
+    }
+
+    fn with_evacuations<T>(&self, f: impl FnOnce(&mut Evacuations, Millis) -> T) -> T {
+        f(&mut self.evacuations.borrow_mut(), self.now())
+    }
+
+    fn log_evacuations(&self, changes: &[EvacuationChange]) {
+        for change in changes {
+            let (event, domain) = match change {
+                EvacuationChange::Emptied(domain) => ("domain_emptied", domain),
+                EvacuationChange::Returned(domain) => ("domain_returned", domain),
+            };
+            let servers = self.with_registry(|r| {
+                r.servers(self.now()).filter(|server| server.domain == *domain).count()
+            });
+            let config = self.catalog().map_or(0, |catalog| catalog.version);
+            self.telemetry.gauge(&format!("domain.{domain}.emptied_ms"), 0);
+            self.telemetry
+                .info(event, &[("domain", domain), ("servers", &servers), ("config", &config)]);
+        }
+        if !changes.is_empty() {
+            let emptied = self.evacuations.borrow().emptied().count();
+            self.telemetry.gauge("domains.emptied", emptied as u64);
+            self.moved.notify(usize::MAX);
+        }
+    }
+
+    /// Shows on the metrics page which domains are emptied, and for how long.
+    pub fn show_evacuations(&self) {
+        let now = self.now();
+        for (domain, since) in self.evacuations.borrow().emptied() {
+            let name = format!("domain.{domain}.emptied_ms");
+            self.telemetry.gauge(&name, now.since(since).0);
+        }
+    }
+}
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, ConnectTimes, Leads, Millis, Pressure, PutOutcome,
-    Quarantine, QuarantinePolicy, ReadRates, Registry, RegistryPolicy, RepeatBudget, RepeatUse,
-    Rises, ServerEnds, ServiceName, StreamTimes,
+    BackendId, BackendServer, Catalog, ConnectTimes, Evacuations, Leads, Millis, Pressure,
+    PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Registry, RegistryPolicy, RepeatBudget,
+    RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -83,6 +83,7 @@
     pub(crate) looked: Event,
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) claims: RefCell<VecDeque<Claim>>,
+    pub(crate) evacuations: RefCell<Evacuations>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
     /// When the store came back from an older copy.
@@ -152,6 +153,7 @@
             looked: Event::new(),
             quarantine: RefCell::new(quarantine),
             claims: RefCell::default(),
+            evacuations: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod clock;
 mod ends;
+mod evacuation;
 mod exchange;
 mod facts;
 mod feeds;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -445,9 +445,11 @@
         let has_model = |s: &BackendServer| {
             s.models.is_empty() || model.is_none_or(|model| s.models.contains(model))
         };
+        let evacuations = self.gw.evacuations.borrow();
         let fits = |s: &&BackendServer| {
             s.service == self.service
                 && s.state == ServerState::Ready
+                && !evacuations.is_emptied(&s.domain)
                 && !self.avoid.contains(&s.id)
                 && has_model(s)
         };
