feat: run requests only in the regions of their route and customer

Requests of a route or customer with homes ran in any region. Cause: the homes were not read, nor the region of a failure domain. Now both are decoded, and the one filter by which servers are chosen takes only servers whose domain's region is among the homes of the route and of the customer; a server of a domain without a known region is taken for none.

No deployment at hand has more than one region: this is proved against the stand-ins only.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -102,6 +102,11 @@
     ModelName,
     "a model's name (1 to 128 letters, digits and -_.:@)"
 );
+name_type!(
+    /// Name of a region.
+    Region,
+    "a region's name (1 to 128 letters, digits and -_.:@)"
+);
 name_type!(
     /// A session id as the caller sends it.
     SessionId,
--- a/core/src/serving/catalog.rs
+++ b/core/src/serving/catalog.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+use super::homes::Homes;
 use crate::ids::{CustomerName, Millis, ModelName};
 
 macro_rules! text_type {
@@ -101,6 +102,8 @@
     pub is_public: bool,
     /// Models that the gateway may choose from, the smallest first; empty if callers choose.
     pub sizes: Vec<ModelName>,
+    /// Regions in which requests may run.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -137,6 +140,8 @@
     pub name: CustomerName,
     /// Rank; goes before that of a route.
     pub priority: Option<Priority>,
+    /// Regions in which its requests may run, beside those of the route.
+    pub homes: Homes,
 }
 
 /// What callers may send, and how long they may take.
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -4,9 +4,9 @@
 
 use redwingfold_core::{
     BackendId, BackendServer, CallLimits, Catalog, Customer, EventId, EventSplitter, Fault,
-    HealthPolicy, Incarnation, Millis, PeerLoads, Place, PlacementPolicy, Pressure, Priority,
-    PutOutcome, Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Route, ServerHealth,
-    ServerState, ServiceName, SizePolicy, Work, place,
+    HealthPolicy, Homes, Incarnation, Millis, PeerLoads, Place, PlacementPolicy, Pressure,
+    Priority, PutOutcome, Registry, RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Route,
+    ServerHealth, ServerState, ServiceName, SizePolicy, Work, place,
 };
 
 fn server(id: &str, state: ServerState) -> BackendServer {
@@ -37,6 +37,7 @@
         max_attempts: 2,
         is_public: false,
         sizes: Vec::new(),
+        homes: Homes::default(),
     }
 }
 
@@ -44,7 +45,8 @@
 #[test]
 fn longest_prefix_decides() {
     let routes = [route("short", "/a/"), route("long", "/a/b/"), route("other", "/c/")];
-    let customer = Customer { name: "ani".parse().unwrap(), priority: None };
+    let customer =
+        Customer { name: "ani".parse().unwrap(), priority: None, homes: Homes::default() };
     let limits = CallLimits::default();
     let catalog = Catalog::new(1, limits, routes, [], [("key".to_owned(), customer)]);
     let name = |path| catalog.route("a.EXAMPLE:80", path).map(|r| r.name.to_string());
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 use event_listener::Event;
 use redwingfold_core::{
     BackendId, BackendServer, Catalog, ConnectTimes, Evacuations, Leads, Millis, Pressure,
-    PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Registry, RegistryPolicy, RepeatBudget,
-    RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
+    PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy,
+    RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -84,6 +84,7 @@
     pub(crate) quarantine: RefCell<Quarantine>,
     pub(crate) claims: RefCell<VecDeque<Claim>>,
     pub(crate) evacuations: RefCell<Evacuations>,
+    pub(crate) regions: RefCell<Regions>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
     /// When the store came back from an older copy.
@@ -154,6 +155,7 @@
             quarantine: RefCell::new(quarantine),
             claims: RefCell::default(),
             evacuations: RefCell::default(),
+            regions: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
@@ -184,6 +186,11 @@
         &self.telemetry
     }
 
+    /// Takes the regions of failure domains.
+    pub fn set_regions(&self, regions: Regions) {
+        *self.regions.borrow_mut() = regions;
+    }
+
     /// Returns the configuration in force.
     pub fn catalog(&self) -> Option<Rc<Catalog>> {
         self.catalog.borrow().clone()
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,8 +5,8 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use redwingfold_core::{
-    Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, Fault,
-    Fingerprint, Millis, Place, Priority, Registry, RepeatUse, Route, RunState, ServerState,
+    Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, FailureDomain,
+    Fault, Fingerprint, Millis, Place, Priority, Registry, RepeatUse, Route, RunState, ServerState,
     ServiceName, Work, place,
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -445,11 +445,17 @@
         let has_model = |s: &BackendServer| {
             s.models.is_empty() || model.is_none_or(|model| s.models.contains(model))
         };
-        let evacuations = self.gw.evacuations.borrow();
+        let (evacuations, regions) = (self.gw.evacuations.borrow(), self.gw.regions.borrow());
+        let of_customer = self.customer.as_ref().map(|customer| &customer.homes);
+        let may_run_in = |domain: &FailureDomain| {
+            let region = regions.of(domain);
+            self.route.homes.allow(region) && of_customer.is_none_or(|homes| homes.allow(region))
+        };
         let fits = |s: &&BackendServer| {
             s.service == self.service
                 && s.state == ServerState::Ready
                 && !evacuations.is_emptied(&s.domain)
+                && may_run_in(&s.domain)
                 && !self.avoid.contains(&s.id)
                 && has_model(s)
         };
