feat: send cold backend servers no more than they bear, all gateways together

Servers that come back together are idle, so that each gateway chose them before the loaded ones, and they ended under the herd: what a server says of being cold was decoded and dropped. Ruled out: a bound at each gateway alone, as nobody counts what all send.

Now a gateway has a turn at each cold server once in as many intervals as there are gateways, at a moment that it draws, and loses one that it does not use. A domain that is taken back is cold for as long as a start takes, before its servers say so. A request that finds only cold servers waits for a turn, for a third of its time, or is refused with the time of the next. One that nothing binds to a new version, whose servers are all cold at first, goes to the version in service meanwhile.

The choice of a server moves into a file of its own.

--- a/core/src/serving/catalog.rs
+++ b/core/src/serving/catalog.rs
@@ -4,6 +4,7 @@
 use std::fmt;
 use std::rc::Rc;
 
+use super::cold::ColdLimit;
 use super::homes::Homes;
 use crate::ids::{CustomerName, Millis, ModelName};
 
@@ -131,6 +132,8 @@
     pub slots: Option<u32>,
     /// Tokens that a backend server's memory holds, if it is a model engine.
     pub memory_tokens: Option<u64>,
+    /// What its servers bear while they are cold, if they ever are.
+    pub cold: Option<ColdLimit>,
 }
 
 /// A customer as its keys tell.
--- a/core/src/serving/evacuations.rs
+++ b/core/src/serving/evacuations.rs
@@ -100,6 +100,7 @@
         let is_over = |order: &Order| order.ends_at.is_some_and(|at| now >= at);
         let over = self.emptied.iter().filter(|(_, order)| is_over(order));
         let over: Vec<_> = over.map(|(domain, _)| domain.clone()).collect();
+        self.returned.retain(|_, at| now.since(*at) < ENDED_KEPT);
         over.iter().filter_map(|domain| self.take_back(domain, now)).collect()
     }
 
@@ -113,6 +114,11 @@
         self.emptied.iter().map(|(domain, order)| (domain, order.since))
     }
 
+    /// Says whether any domain was returned within the last minute.
+    pub fn has_returned(&self) -> bool {
+        !self.returned.is_empty()
+    }
+
     /// Returns when a domain was last returned, if that was within the last minute.
     pub fn returned_at(&self, domain: &FailureDomain) -> Option<Millis> {
         self.returned.get(domain).copied()
--- a/core/src/serving/homes.rs
+++ b/core/src/serving/homes.rs
@@ -23,9 +23,14 @@
         Self(regions)
     }
 
+    /// Says whether requests may run anywhere.
+    pub fn is_anywhere(&self) -> bool {
+        self.0.is_empty()
+    }
+
     /// Says whether requests may run in a region. One that is not known could be any.
     pub fn allow(&self, region: Option<&Region>) -> bool {
-        self.0.is_empty() || region.is_some_and(|region| self.0.contains(region))
+        self.is_anywhere() || region.is_some_and(|region| self.0.contains(region))
     }
 }
 
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -4,6 +4,7 @@
 mod budget;
 mod canary;
 mod catalog;
+mod cold;
 mod connect_time;
 mod evacuations;
 mod events;
@@ -34,6 +35,7 @@
     BackendId, CallLimits, Catalog, Customer, Priority, Repeat, Route, RouteName, Service,
     ServiceName, StreamRules,
 };
+pub use cold::{ColdLimit, ColdPolicy, ColdTurns};
 pub use connect_time::ConnectTimes;
 pub use evacuations::{EvacuationChange, Evacuations};
 pub use events::{EventId, EventSplitter, WholeEvents};
--- a/core/src/serving/registry.rs
+++ b/core/src/serving/registry.rs
@@ -36,6 +36,8 @@
     pub models: Vec<ModelName>,
     /// Its start, if the platform tells: a server may start again under its id.
     pub born: Option<Incarnation>,
+    /// How much longer it is cold, as of its record.
+    pub cold_left: Millis,
 }
 
 impl BackendServer {
@@ -81,6 +83,8 @@
     servers: HashMap<BackendId, Entry>,
     /// Until when a missing entry may be one that lapsed while the store was away.
     trusted_from: Millis,
+    /// When the last server that is known to be cold is warm.
+    all_warm_at: Millis,
     /// Servers that were removed, and when.
     departed: HashMap<BackendId, Millis>,
 }
@@ -88,9 +92,14 @@
 /// Time for which a removed server is remembered: copies from which the store comes back are some seconds old.
 const DEPARTED_KEPT: Millis = Millis(60_000);
 
+/// Time by which heartbeats of a cold server differ on when it is warm, as they are read sooner or later.
+const COLD_TOLERANCE: Millis = Millis(500);
+
 #[derive(Clone, Debug)]
 struct Entry {
+    /// Its record, without the time for which it is cold.
     server: BackendServer,
+    cold_until: Millis,
     /// When it is to be taken as gone, if its record is missing.
     gone_at: Option<Millis>,
 }
@@ -107,8 +116,9 @@
     }
 
     /// Takes a server's record. A server that was seen draining stays so until it starts again.
-    pub fn put(&mut self, server: BackendServer) -> PutOutcome {
-        let known = self.servers.get(&server.id).map(|entry| &entry.server);
+    pub fn put(&mut self, server: BackendServer, now: Millis) -> PutOutcome {
+        let before = self.servers.get(&server.id);
+        let known = before.map(|entry| &entry.server);
         let outcome = match known {
             Some(known) if known.is_restart_of(&server) => return PutOutcome::Late,
             Some(known) if server.is_restart_of(known) => PutOutcome::Restarted,
@@ -119,9 +129,16 @@
             PutOutcome::Taken if was_draining => ServerState::Draining,
             _ => server.state,
         };
-        let server = BackendServer { state, ..server };
+        // A record that was written before the server said otherwise may come after.
+        let was_cold_until = before.map_or(Millis(0), |entry| entry.cold_until);
+        let cold_until = match server.cold_left {
+            Millis(0) => was_cold_until,
+            left => was_cold_until.max(now.after(left)),
+        };
+        self.all_warm_at = self.all_warm_at.max(cold_until);
+        let server = BackendServer { state, cold_left: Millis(0), ..server };
         self.departed.remove(&server.id);
-        self.servers.insert(server.id.clone(), Entry { server, gone_at: None });
+        self.servers.insert(server.id.clone(), Entry { server, cold_until, gone_at: None });
         outcome
     }
 
@@ -179,7 +196,7 @@
         let mut restarted = Vec::new();
         for server in servers {
             let id = server.id.clone();
-            if self.put(server) == PutOutcome::Restarted {
+            if self.put(server, now) == PutOutcome::Restarted {
                 restarted.push(id);
             }
         }
@@ -222,9 +239,36 @@
 
     /// Says whether a record brings nothing new. One of a server that is to be taken as gone does:
     /// the server lives.
-    pub fn has(&self, server: &BackendServer) -> bool {
-        let entry = self.servers.get(&server.id);
-        entry.is_some_and(|entry| entry.gone_at.is_none() && entry.server == *server)
+    pub fn has(&self, server: &BackendServer, now: Millis) -> bool {
+        let Some(entry) = self.servers.get(&server.id).filter(|entry| entry.gone_at.is_none())
+        else {
+            return false;
+        };
+        match server.cold_left {
+            Millis(0) => entry.server == *server,
+            left => {
+                let warm = BackendServer { cold_left: Millis(0), ..server.clone() };
+                entry.server == warm && now.after(left) <= entry.cold_until.after(COLD_TOLERANCE)
+            }
+        }
+    }
+
+    /// Takes from a server itself how much longer it is cold.
+    pub fn is_cold(&mut self, id: &BackendId, left: Millis, now: Millis) {
+        if let Some(entry) = self.servers.get_mut(id) {
+            entry.cold_until = entry.cold_until.max(now.after(left));
+            self.all_warm_at = self.all_warm_at.max(entry.cold_until);
+        }
+    }
+
+    /// Says whether any server may be cold.
+    pub fn has_cold(&self, now: Millis) -> bool {
+        now < self.all_warm_at
+    }
+
+    /// Returns how much longer a server is cold.
+    pub fn cold_left(&self, id: &BackendId, now: Millis) -> Millis {
+        self.servers.get(id).map_or(Millis(0), |entry| entry.cold_until.since(now))
     }
 
     /// Returns a server.
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -20,6 +20,7 @@
         state,
         models: Vec::new(),
         born: None,
+        cold_left: Millis(0),
     }
 }
 
@@ -210,13 +211,13 @@
 #[test]
 fn returned_record_ends_the_grace() {
     let mut registry = Registry::default();
-    registry.put(server("a", ServerState::Ready));
+    registry.put(server("a", ServerState::Ready), Millis(0));
     registry.store_was_away(Millis(1_000));
     registry.remove(&BackendId::from("a"), Millis(1_500));
-    assert!(!registry.has(&server("a", ServerState::Ready)));
-    registry.put(server("a", ServerState::Ready));
+    assert!(!registry.has(&server("a", ServerState::Ready), Millis(9_000)));
+    registry.put(server("a", ServerState::Ready), Millis(0));
     assert!(registry.expire(Millis(9_000)).is_empty());
-    assert!(registry.has(&server("a", ServerState::Ready)));
+    assert!(registry.has(&server("a", ServerState::Ready), Millis(9_000)));
 }
 
 /// A server that fails two in five of its answers while its health is good is left out within
@@ -352,12 +353,12 @@
     let start = |born, state| BackendServer { born: Some(Incarnation(born)), ..server("a", state) };
     let state = |registry: &Registry| registry.servers(Millis(0)).next().map(|s| s.state);
     let mut registry = Registry::default();
-    assert_eq!(registry.put(start(1, ServerState::Ready)), PutOutcome::Taken);
-    assert_eq!(registry.put(start(1, ServerState::Draining)), PutOutcome::Taken);
-    assert_eq!(registry.put(start(1, ServerState::Ready)), PutOutcome::Taken);
+    assert_eq!(registry.put(start(1, ServerState::Ready), Millis(0)), PutOutcome::Taken);
+    assert_eq!(registry.put(start(1, ServerState::Draining), Millis(0)), PutOutcome::Taken);
+    assert_eq!(registry.put(start(1, ServerState::Ready), Millis(0)), PutOutcome::Taken);
     assert_eq!(state(&registry), Some(ServerState::Draining));
-    assert_eq!(registry.put(start(2, ServerState::Ready)), PutOutcome::Restarted);
-    assert_eq!(registry.put(start(1, ServerState::Draining)), PutOutcome::Late);
+    assert_eq!(registry.put(start(2, ServerState::Ready), Millis(0)), PutOutcome::Restarted);
+    assert_eq!(registry.put(start(1, ServerState::Draining), Millis(0)), PutOutcome::Late);
     assert_eq!(state(&registry), Some(ServerState::Ready));
     let list = vec![start(3, ServerState::Ready), server("b", ServerState::Ready)];
     assert_eq!(registry.replace(list, Millis(0)), vec![BackendId::from("a")]);
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -83,6 +83,7 @@
         resume_after: Option<EventId>,
     ) -> Attempted {
         let gw = self.gw.clone();
+        gw.sends_to(server);
         let limit = gw.connect_times.get().limit().min(self.left());
         let connecting_at = gw.now();
         gw.loads.tries(server, connecting_at);
@@ -130,6 +131,9 @@
         let now = gw.now();
         let facts = (gw.dialect.read_answer)(head.status, &head.headers);
         gw.loads.heard(server, now);
+        if let Some(left) = facts.cold_left {
+            gw.heard_cold(server, left);
+        }
         if let Some(load) = facts.load {
             gw.loads.reported(server, load, now);
         }
--- /dev/null
+++ b/gateway/src/choice.rs
@@ -0,0 +1,167 @@
+//! Which backend server gets a request, among those that may have it.
+
+use redwingfold_core::{
+    Arm, BackendServer, ErrorKind, FailureDomain, Millis, Place, Registry, ServerState, place,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::answer::Failed;
+use crate::clock::sleep;
+use crate::facts::ModelAsk;
+use crate::request::Flight;
+
+/// Part of the time left, as a divisor, for which a request waits while only cold servers are there: the rest is for its
+/// answer, or for a return.
+const COLD_WAIT_PART: u64 = 3;
+
+/// What a look for a server found.
+pub(crate) enum Choice {
+    /// This server, and the time that it will take for other prompts.
+    Server(Box<BackendServer>, Millis),
+    /// Only cold servers, the first of which may get a request from here after this time.
+    Later(Millis),
+}
+
+/// Servers that may have a request, the first those that may have it now.
+struct Pool<'a> {
+    now: Vec<&'a BackendServer>,
+    /// Time until one of the others may.
+    later: Option<Millis>,
+}
+
+impl Flight {
+    /// Chooses a server for the model that is asked; where only cold ones are there, waits for a turn at one of them.
+    pub(crate) async fn pick_in_turn(&mut self) -> Result<(BackendServer, Millis), Failed> {
+        let until = self.gw.now().after(Millis(self.left().0 / COLD_WAIT_PART));
+        loop {
+            let wait = match self.pick()? {
+                Choice::Server(server, unread) => return Ok((*server, unread)),
+                Choice::Later(wait) => wait,
+            };
+            if self.gw.now().after(wait) > until {
+                let why = format!("only cold servers of {} are left", self.service);
+                return Err(Failed { retry_after: Some(wait), ..self.overloaded(why) });
+            }
+            self.gw.telemetry.count("request.waited_for_cold", 1);
+            sleep(wait).await;
+        }
+    }
+
+    /// Chooses a server for the model that is asked.
+    pub(crate) fn pick(&self) -> Result<Choice, Failed> {
+        self.gw
+            .with_registry(|registry| self.pick_among(&self.candidates(registry), registry))
+            .ok_or_else(|| self.no_backend())
+    }
+
+    fn pick_among(&self, servers: &[&BackendServer], registry: &Registry) -> Option<Choice> {
+        let now = self.gw.now();
+        let pool = self.pool(servers, registry, now)?;
+        if pool.now.is_empty() {
+            return pool.later.map(Choice::Later);
+        }
+        let loads = &self.gw.loads;
+        let mut places: Vec<Place> = pool.now.iter().map(|s| loads.place(s, now)).collect();
+        bound_left_out(&mut places, self.gw.settings.health.max_out_share);
+        let policy = &self.gw.settings.placement;
+        let found = place(&places, self.work(self.size), policy, |n| fastrand::usize(..n))?;
+        let server = pool.now.into_iter().find(|s| s.id == found.id)?;
+        Some(Choice::Server(Box::new(server.clone()), found.unread))
+    }
+
+    /// Returns the servers of the version that this request is to have.
+    ///
+    /// Servers of a new version are all cold at first. A request that nothing binds to it goes to the version in service
+    /// meanwhile; the other way round, a bad version would get more than its share.
+    fn pool<'a>(
+        &self,
+        servers: &[&'a BackendServer],
+        registry: &Registry,
+        now: Millis,
+    ) -> Option<Pool<'a>> {
+        let session = self.facts.session.as_deref();
+        let draw = xxh3_64(session.unwrap_or(&self.facts.id).as_bytes());
+        let (arm, is_bound, of_target, of_current) = self.gw.with_rollouts(|r| {
+            let of_arm = |arm: Arm| -> Vec<&'a BackendServer> {
+                // A version that was rolled back has no arm, so that it is never taken instead.
+                let has_arm =
+                    |s: &&&BackendServer| r.arm_of(&self.service, &s.version) == Some(arm);
+                servers.iter().filter(has_arm).copied().collect()
+            };
+            let arm = r.arm(&self.service, session, self.reached, draw, now);
+            let is_bound = r.is_bound(&self.service, session, self.reached, now);
+            (arm, is_bound, of_arm(Arm::Target), of_arm(Arm::Current))
+        });
+        let pool = |servers| self.split(servers, registry, now);
+        match arm {
+            Arm::Target if of_target.is_empty() => pool(of_current),
+            Arm::Current if of_current.is_empty() => pool(of_target),
+            Arm::Current => pool(of_current),
+            Arm::Target => {
+                let target = pool(of_target)?;
+                let is_waiting = target.now.is_empty() && !is_bound;
+                let current = if is_waiting { pool(of_current) } else { None };
+                Some(current.filter(|current| !current.now.is_empty()).unwrap_or(target))
+            }
+        }
+    }
+
+    /// Tells servers that may have a request now from cold ones at which this gateway has no turn.
+    fn split<'a>(
+        &self,
+        servers: Vec<&'a BackendServer>,
+        registry: &Registry,
+        now: Millis,
+    ) -> Option<Pool<'a>> {
+        let mut pool = Pool { now: Vec::new(), later: None };
+        for server in servers {
+            match self.gw.cold_wait(server, registry, now) {
+                Millis(0) => pool.now.push(server),
+                wait => pool.later = Some(pool.later.map_or(wait, |later| later.min(wait))),
+            }
+        }
+        (!pool.now.is_empty() || pool.later.is_some()).then_some(pool)
+    }
+
+    fn no_backend(&self) -> Failed {
+        let why = format!("no server of {} is left, {} tried", self.service, self.avoid.len());
+        Failed { run: self.run, ..Failed::new(ErrorKind::NoBackend, why) }
+    }
+
+    /// Returns the servers that may have this request at all.
+    fn candidates<'a>(&self, registry: &'a Registry) -> Vec<&'a BackendServer> {
+        let model = match (&self.facts.model, self.size) {
+            (_, Some(size)) => self.route.sizes.get(size),
+            (ModelAsk::Named(model), None) => Some(model),
+            _ => None,
+        };
+        let has_model = |s: &BackendServer| {
+            s.models.is_empty() || model.is_none_or(|model| s.models.contains(model))
+        };
+        let (evacuations, regions) = (self.gw.evacuations.borrow(), self.gw.regions.borrow());
+        let of_customer = self.customer.as_ref().map(|customer| &customer.homes);
+        let homes: Vec<_> = of_customer.into_iter().chain([&self.route.homes]).collect();
+        let is_anywhere = homes.iter().all(|homes| homes.is_anywhere());
+        let may_run_in = |domain: &FailureDomain| {
+            is_anywhere || homes.iter().all(|homes| homes.allow(regions.of(domain)))
+        };
+        let fits = |s: &&BackendServer| {
+            s.service == self.service
+                && s.state == ServerState::Ready
+                && !evacuations.is_emptied(&s.domain)
+                && may_run_in(&s.domain)
+                && !self.avoid.contains(&s.id)
+                && has_model(s)
+        };
+        registry.servers(self.gw.now()).filter(fits).collect()
+    }
+}
+
+/// Takes servers back that would be left out beyond the share that may be: when most look bad, the
+/// fault is more likely on the way to them, and the few others could not bear the load.
+fn bound_left_out(places: &mut [Place], max_share: f64) {
+    let out = places.iter().filter(|p| p.is_out).count();
+    if out as f64 > places.len() as f64 * max_share {
+        places.iter_mut().for_each(|p| p.is_out = false);
+    }
+}
--- a/gateway/src/exchange/servers.rs
+++ b/gateway/src/exchange/servers.rs
@@ -47,7 +47,14 @@
 
 impl List {
     pub(super) fn new(next: u64, registry: &Registry, now: Millis) -> Self {
-        let servers = registry.servers(now).map(ServerWire::from).collect();
+        let servers = registry.servers(now).map(|server| {
+            let cold_left = registry.cold_left(&server.id, now);
+            match cold_left {
+                Millis(0) => ServerWire::from(server),
+                _ => ServerWire::from(&BackendServer { cold_left, ..server.clone() }),
+            }
+        });
+        let servers = servers.collect();
         let lapsing = registry.lapsing(now).map(|(id, left)| (id.to_string(), left.0 as u32));
         Self { next, servers, lapsing: lapsing.collect() }
     }
--- a/gateway/src/exchange/tests.rs
+++ b/gateway/src/exchange/tests.rs
@@ -139,6 +139,7 @@
         state: ServerState::Ready,
         models: Vec::new(),
         born: None,
+        cold_left: Millis(0),
     }
 }
 
@@ -151,7 +152,7 @@
     let mut read = Registry::default();
     read.store_was_away(Millis(0));
     ["left", "stays"].iter().for_each(|id| {
-        read.put(server(id));
+        read.put(server(id), Millis(0));
     });
     read.remove(&"left".into(), Millis(100));
     let list = List::new(7, &read, Millis(200)).write().unwrap().of(7).unwrap();
--- a/gateway/src/facts.rs
+++ b/gateway/src/facts.rs
@@ -102,6 +102,8 @@
     pub is_signed: bool,
     /// Load of the server.
     pub load: Option<ReportedLoad>,
+    /// How much longer the server is cold, if it says so.
+    pub cold_left: Option<Millis>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, ConnectTimes, Evacuations, Leads, Millis, Pressure,
-    PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy,
-    RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
+    BackendId, BackendServer, Catalog, ColdTurns, ConnectTimes, Evacuations, Leads, Millis,
+    Pressure, PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry,
+    RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -85,6 +85,7 @@
     pub(crate) claims: RefCell<VecDeque<Claim>>,
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) regions: RefCell<Regions>,
+    pub(crate) cold_turns: RefCell<ColdTurns>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
     /// When the store came back from an older copy.
@@ -133,6 +134,7 @@
         let hold = settings.quarantine.hold;
         let hold = hold.after(Millis(fastrand::u64(0..=hold.0 / 2)));
         let quarantine = Quarantine::new(QuarantinePolicy { hold, ..settings.quarantine });
+        let cold_turns = ColdTurns::new(settings.cold);
         Self {
             settings,
             dialect,
@@ -156,6 +158,7 @@
             claims: RefCell::default(),
             evacuations: RefCell::default(),
             regions: RefCell::default(),
+            cold_turns: RefCell::new(cold_turns),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
@@ -243,7 +246,7 @@
             );
         }
         let id = server.id.clone();
-        if self.registry.borrow_mut().put(server) == PutOutcome::Restarted {
+        if self.registry.borrow_mut().put(server, now) == PutOutcome::Restarted {
             self.started_again(&id);
         }
     }
@@ -274,10 +277,10 @@
 
     /// Returns what of some records is new to this gateway.
     pub fn new_changes(&self, changes: Vec<ServerChange>) -> Vec<ServerChange> {
-        let registry = self.registry.borrow();
+        let (registry, now) = (self.registry.borrow(), self.now());
         let is_new = |change: &ServerChange| match change {
             ServerChange::Gone(_) => true,
-            ServerChange::Put(server) => !registry.has(server),
+            ServerChange::Put(server) => !registry.has(server, now),
         };
         changes.into_iter().filter(is_new).collect()
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,7 +6,9 @@
 
 mod answer;
 mod attempt;
+mod choice;
 mod clock;
+mod cold;
 mod ends;
 mod evacuation;
 mod exchange;
--- a/gateway/src/meeting.rs
+++ b/gateway/src/meeting.rs
@@ -73,6 +73,7 @@
                 gw.news.notify(usize::MAX);
             }
         }
+        gw.met_others();
         if peers.len() != logged {
             logged = peers.len();
             gw.telemetry.info("peers_known", &[("peers", &logged)]);
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -63,6 +63,8 @@
     is_draining: bool,
     models: Vec<String>,
     born: Option<u64>,
+    /// Milliseconds for which it is still cold.
+    cold_left: u32,
 }
 
 /// Good, failed; number, sum and sum of squares of times to the first byte, and of pauses.
@@ -172,6 +174,7 @@
             is_draining: server.state == ServerState::Draining,
             models: server.models.iter().map(ToString::to_string).collect(),
             born: server.born.map(|born| born.0),
+            cold_left: server.cold_left.0.min(u64::from(u32::MAX)) as u32,
         }
     }
 }
@@ -191,6 +194,7 @@
             state: if message.is_draining { ServerState::Draining } else { ServerState::Ready },
             models: models?,
             born: message.born.map(Incarnation),
+            cold_left: Millis(message.cold_left.into()),
         })
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -137,6 +137,7 @@
         let fleet = present.len() + 1;
         self.gw.with_feeds(|feeds| feeds.share_with(fleet));
         self.gw.with_rollouts(|rollouts| rollouts.share_with(fleet));
+        self.gw.saw_fleet(fleet);
         self.turn = self.turn.wrapping_add(1);
         if self.turn.is_multiple_of(ROLLOUT_TURNS) {
             let part = &present[..present.len().div_ceil(ROLLOUT_PART)];
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,11 +5,9 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use redwingfold_core::{
-    Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, FailureDomain,
-    Fault, Fingerprint, Millis, Place, Priority, Registry, RepeatUse, Route, RunState, ServerState,
-    ServiceName, Work, place,
+    Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, Fault,
+    Fingerprint, Millis, Priority, RepeatUse, Route, RunState, ServiceName, Work,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::answer::{Answer, Failed, passed_on, whole_body};
 use crate::attempt::{Attempted, Begun, Next};
@@ -47,9 +45,9 @@
     /// Sends to servers, the one under way included: one that is waited for is as good as run.
     pub(crate) sends: u32,
     /// The version that it was sent to; the one on trial if it was ever sent there.
-    reached: Option<Arm>,
+    pub(crate) reached: Option<Arm>,
     /// Servers that are passed over.
-    avoid: Vec<BackendId>,
+    pub(crate) avoid: Vec<BackendId>,
     unreachable: u32,
     refusals: u32,
     /// Set if it is sent once more to a server, though servers have ended under it.
@@ -176,7 +174,7 @@
         loop {
             self.check_time()?;
             Box::pin(self.pass_quarantine()).await?;
-            let (server, unread) = self.pick()?;
+            let (server, unread) = self.pick_in_turn().await?;
             let run_before = self.run;
             let attempted = Box::pin(self.attempt(&server, unread, resume_after)).await;
             self.log_attempt(&server, &attempted);
@@ -365,7 +363,7 @@
         if self.refusals < MAX_REFUSALS { Ok(()) } else { Err(self.overloaded(why.to_owned())) }
     }
 
-    fn overloaded(&self, why: String) -> Failed {
+    pub(crate) fn overloaded(&self, why: String) -> Failed {
         Failed { run: self.run, ..Failed::new(ErrorKind::Overloaded, why) }
     }
 
@@ -391,76 +389,6 @@
     pub(crate) async fn broke_run(&self, server: &BackendServer, sent_at: Millis) {
         self.gw.broke(server, EndedRun { request: self.fingerprint, sent_at }).await;
     }
-
-    /// Chooses a server for the model that is asked; returns it with the time that it will take for
-    /// other prompts.
-    pub(crate) fn pick(&self) -> Result<(BackendServer, Millis), Failed> {
-        self.pick_for(self.size).ok_or_else(|| self.no_backend())
-    }
-
-    fn pick_for(&self, size: Option<usize>) -> Option<(BackendServer, Millis)> {
-        let now = self.gw.now();
-        let session = self.facts.session.as_deref();
-        let draw = xxh3_64(session.unwrap_or(&self.facts.id).as_bytes());
-        self.gw.with_registry(|registry| {
-            let servers = self.candidates(registry, size, now);
-            let chosen = self.gw.with_rollouts(|r| {
-                let arm = r.arm(&self.service, session, self.reached, draw, now);
-                let other = if arm == Arm::Target { Arm::Current } else { Arm::Target };
-                let of_arm = |arm: Arm| -> Vec<&BackendServer> {
-                    let has_arm =
-                        |s: &&&BackendServer| r.arm_of(&self.service, &s.version) == Some(arm);
-                    servers.iter().filter(has_arm).copied().collect()
-                };
-                // A version that was rolled back has no arm, so that it is never taken instead.
-                let chosen = of_arm(arm);
-                if chosen.is_empty() { of_arm(other) } else { chosen }
-            });
-            let loads = &self.gw.loads;
-            let mut places: Vec<Place> = chosen.iter().map(|s| loads.place(s, now)).collect();
-            bound_left_out(&mut places, self.gw.settings.health.max_out_share);
-            let policy = &self.gw.settings.placement;
-            let found = place(&places, self.work(size), policy, |n| fastrand::usize(..n))?;
-            let server = chosen.into_iter().find(|s| s.id == found.id)?;
-            Some((server.clone(), found.unread))
-        })
-    }
-
-    fn no_backend(&self) -> Failed {
-        let why = format!("no server of {} is left, {} tried", self.service, self.avoid.len());
-        Failed { run: self.run, ..Failed::new(ErrorKind::NoBackend, why) }
-    }
-
-    fn candidates<'a>(
-        &self,
-        registry: &'a Registry,
-        size: Option<usize>,
-        now: Millis,
-    ) -> Vec<&'a BackendServer> {
-        let model = match (&self.facts.model, size) {
-            (_, Some(size)) => self.route.sizes.get(size),
-            (ModelAsk::Named(model), None) => Some(model),
-            _ => None,
-        };
-        let has_model = |s: &BackendServer| {
-            s.models.is_empty() || model.is_none_or(|model| s.models.contains(model))
-        };
-        let (evacuations, regions) = (self.gw.evacuations.borrow(), self.gw.regions.borrow());
-        let of_customer = self.customer.as_ref().map(|customer| &customer.homes);
-        let may_run_in = |domain: &FailureDomain| {
-            let region = regions.of(domain);
-            self.route.homes.allow(region) && of_customer.is_none_or(|homes| homes.allow(region))
-        };
-        let fits = |s: &&BackendServer| {
-            s.service == self.service
-                && s.state == ServerState::Ready
-                && !evacuations.is_emptied(&s.domain)
-                && may_run_in(&s.domain)
-                && !self.avoid.contains(&s.id)
-                && has_model(s)
-        };
-        registry.servers(now).filter(fits).collect()
-    }
 }
 
 /// Says whether a whole answer shows that a server bears the request. A server that fails, or has no room, may not have
@@ -468,12 +396,3 @@
 fn is_answered(status: StatusCode) -> bool {
     !status.is_server_error() && status != StatusCode::TOO_MANY_REQUESTS
 }
-
-/// Takes servers back that would be left out beyond the share that may be: when most look bad, the
-/// fault is more likely on the way to them, and the few others could not bear the load.
-fn bound_left_out(places: &mut [Place], max_share: f64) {
-    let out = places.iter().filter(|p| p.is_out).count();
-    if out as f64 > places.len() as f64 * max_share {
-        places.iter_mut().for_each(|p| p.is_out = false);
-    }
-}
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -263,6 +263,18 @@
         canary.arm(reached.or(arm), draw, now)
     }
 
+    /// Says whether a request has to have a version that it, or one of its session, has had before.
+    pub(crate) fn is_bound(
+        &self,
+        service: &ServiceName,
+        session: Option<&str>,
+        reached: Option<Arm>,
+        now: Millis,
+    ) -> bool {
+        let version = session.and_then(|session| self.sessions.version(service, session, now));
+        reached.is_some() || version.is_some()
+    }
+
     /// Says to which arm a version belongs; `None` if it may not be used.
     pub(crate) fn arm_of(&self, service: &ServiceName, version: &VersionName) -> Option<Arm> {
         let versions = self.services.get(service)?;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, HealthPolicy, Millis, PlacementPolicy, QuarantinePolicy, SilencePolicy,
-    SizePolicy, UrgencyPolicy,
+    CanaryPolicy, ColdPolicy, HealthPolicy, Millis, PlacementPolicy, QuarantinePolicy,
+    SilencePolicy, SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -42,6 +42,8 @@
     pub sizes: SizePolicy,
     /// How requests are ranked at servers.
     pub urgency: UrgencyPolicy,
+    /// How much cold servers get.
+    pub cold: ColdPolicy,
     /// How often the store's feeds are read.
     pub feeds: FeedPeriods,
     /// Bytes of the operator's newest records that are taken from another gateway.
@@ -76,6 +78,7 @@
             silence: SilencePolicy::default(),
             sizes: SizePolicy::default(),
             urgency: UrgencyPolicy::default(),
+            cold: ColdPolicy::default(),
             feeds: FeedPeriods::default(),
             max_orders: 16 * 1024 * 1024,
         }
