--- /dev/null
+++ b/core/tests/cold_fleet/mod.rs
@@ -0,0 +1,245 @@
+//! Gateways before cold backend servers, in virtual time, by the way in which they share what these bear.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use redwingfold_core::{BackendId, ColdLimit, ColdPolicy, ColdTurns, Millis};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// What a cold server bears.
+pub const LIMIT: ColdLimit = ColdLimit { lasts: Millis(3_000), per_s: 12.0 };
+
+/// How near all gateways come to it.
+pub fn policy() -> ColdPolicy {
+    ColdPolicy { over: 1.5, slack: 5.0, ..ColdPolicy::default() }
+}
+
+/// Longest time until a gateway has heard of a new server.
+const NEWS: u64 = 600;
+
+/// Longest time until a gateway has heard that a server which it knows is cold again.
+const LATE_NEWS: u64 = 2_000;
+
+/// What a common clock shows at the begin, in milliseconds.
+const CLOCK_BEGAN: i64 = 10_000_000;
+
+/// Time between looks of requests that wait for a turn.
+const LOOK_EVERY: u64 = 10;
+
+/// Time over which gateways start anew, and in which each hears of all others.
+const UP_WITHIN: u64 = 400;
+const HEARS_ALL: u64 = 4_000;
+
+/// A way to share what a cold server bears.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Way {
+    /// Turns at drawn moments, lost if not used: the one that stands.
+    Turns,
+    /// A part of the rate for each gateway, saved up to one request.
+    Saved,
+    /// One gateway for each server, by rendezvous hashing among those that are known, with the whole rate.
+    Owner,
+    /// Slots of a common clock, in the order of the known gateways.
+    Slots,
+    /// No bound.
+    Free,
+}
+
+/// What gateways believe wrongly.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Belief {
+    /// Nothing.
+    Right,
+    /// Each knows a half of the others.
+    Half,
+    /// All have just started, and know nobody at first.
+    Anew,
+    /// Clocks are up to half a second apart.
+    Clocks,
+    /// A third of the others are dead.
+    Dead,
+    /// Servers became cold again under their ids, which is heard late.
+    Late,
+}
+
+/// What is played.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    pub gateways: usize,
+    pub cold: usize,
+    pub warm: usize,
+    /// Requests a second, over all gateways.
+    pub per_s: f64,
+    /// Time at which all callers press at once, with ten times as many requests for 0.1 s.
+    pub burst_at: Option<u64>,
+}
+
+/// What came of it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Played {
+    /// Most requests that a server got within a second.
+    pub most: usize,
+    /// Requests a second that a cold server got on average.
+    pub mean: f64,
+    /// Requests a second that the one got that got fewest.
+    pub least: f64,
+}
+
+struct Gateway {
+    /// Itself, and the others that it knows in the end.
+    knows: Vec<usize>,
+    ids: Rc<[BackendId]>,
+    up_at: u64,
+    clock: i64,
+    turns: ColdTurns,
+    /// Server; when this gateway last sent there, or saved up first.
+    sent_at: HashMap<usize, f64>,
+    hears_at: Vec<u64>,
+    pending: u32,
+}
+
+impl Gateway {
+    /// Returns the gateways that it knows at a time, itself included.
+    fn known(&self, at: u64, belief: Belief) -> &[usize] {
+        let part = match belief {
+            Belief::Anew => (at.saturating_sub(self.up_at) as f64 / HEARS_ALL as f64).min(1.0),
+            _ => 1.0,
+        };
+        let others = self.knows.len() - 1;
+        &self.knows[..=(others as f64 * part) as usize]
+    }
+
+    fn may_send(&mut self, way: Way, server: usize, at: u64, belief: Belief) -> bool {
+        let rate = policy().rate(LIMIT);
+        let (own, known) = (self.knows[0], self.known(at, belief).len());
+        let since = at as f64 - self.sent_at.get(&server).copied().unwrap_or(f64::MIN);
+        match way {
+            Way::Free => true,
+            Way::Turns => {
+                self.turns.saw_fleet(known, Millis(at));
+                let draw = xxh3_64_with_seed(&own.to_le_bytes(), at ^ ((server as u64) << 20));
+                self.turns.wait(&self.ids[server], LIMIT, Millis(at), draw) == Millis(0)
+            }
+            Way::Saved => since >= known as f64 * 1000.0 / rate,
+            Way::Owner => {
+                let score = |g: &&usize| xxh3_64_with_seed(&g.to_le_bytes(), server as u64);
+                let owner = self.known(at, belief).iter().max_by_key(score);
+                owner == Some(&own) && since >= 1000.0 / rate
+            }
+            Way::Slots => {
+                let slot = 1000.0 / rate;
+                let wall = (at as i64 + self.clock + CLOCK_BEGAN) as f64;
+                let turn = ((wall / slot) as usize + server * 7) % known;
+                let before = self.known(at, belief).iter().filter(|g| **g < own).count();
+                before == turn && since > slot
+            }
+        }
+    }
+
+    fn sent(&mut self, server: usize, at: u64) {
+        self.turns.sent(&self.ids[server], LIMIT, Millis(at));
+        self.sent_at.insert(server, at as f64);
+    }
+}
+
+/// Lets callers press on while servers are cold.
+pub fn play(way: Way, belief: Belief, load: Load, seed: u64) -> Played {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    // Gateways that run have met long before the servers come.
+    let began = if belief == Belief::Anew { 0 } else { 20_000 };
+    let n = load.gateways;
+    let ids: Rc<[BackendId]> =
+        (0..load.cold).map(|server| format!("i-{server}").as_str().into()).collect();
+    let mut gateways: Vec<_> = (0..n).map(|own| gateway(own, n, &ids, belief, &mut rng)).collect();
+    for gateway in gateways.iter_mut().filter(|gateway| gateway.up_at < u64::MAX) {
+        gateway.hears_at.iter_mut().for_each(|at| *at += began);
+        gateway.turns.met(Millis(gateway.up_at));
+    }
+    let mut arrivals: Vec<Vec<u64>> = vec![Vec::new(); load.cold];
+    for at in began..began + LIMIT.lasts.0 {
+        let in_burst = load.burst_at.is_some_and(|b| (b..b + 100).contains(&(at - began)));
+        let per_ms = load.per_s / 1000.0 * if in_burst { 10.0 } else { 1.0 };
+        let came = per_ms as u32 + u32::from(rng.f64() < per_ms.fract());
+        for _ in 0..came {
+            // Some gateways get three times as many callers as others.
+            let drawn = rng.usize(..n);
+            let own = if drawn.is_multiple_of(3) || rng.bool() { drawn } else { drawn / 3 * 3 };
+            gateways[own].pending += 1;
+        }
+        for gateway in gateways.iter_mut() {
+            let is_look = load.warm > 0 || at.is_multiple_of(LOOK_EVERY);
+            while gateway.pending > 0 && at >= gateway.up_at && is_look {
+                match choose(gateway, way, at, belief, load, &mut rng) {
+                    Some(server) => arrivals[server].push(at),
+                    None if load.warm == 0 => break,
+                    None => {}
+                }
+                gateway.pending -= 1;
+            }
+        }
+    }
+    let all: usize = arrivals.iter().map(Vec::len).sum();
+    let seconds = LIMIT.lasts.0 as f64 / 1000.0;
+    let most = arrivals.iter().map(|at| most_in_a_second(at)).max().unwrap_or(0);
+    let least = arrivals.iter().map(Vec::len).min().unwrap_or(0) as f64 / seconds;
+    Played { most, mean: all as f64 / load.cold as f64 / seconds, least }
+}
+
+fn gateway(
+    own: usize,
+    n: usize,
+    ids: &Rc<[BackendId]>,
+    belief: Belief,
+    rng: &mut fastrand::Rng,
+) -> Gateway {
+    let mut knows: Vec<_> = (0..n).filter(|g| *g != own).collect();
+    rng.shuffle(&mut knows);
+    knows.truncate(if belief == Belief::Half { n / 2 } else { n });
+    knows.insert(0, own);
+    let news = if belief == Belief::Late { LATE_NEWS } else { NEWS };
+    Gateway {
+        knows,
+        ids: ids.clone(),
+        up_at: match belief {
+            Belief::Anew => rng.u64(..UP_WITHIN),
+            Belief::Dead if own % 3 == 1 => u64::MAX,
+            _ => 0,
+        },
+        clock: if belief == Belief::Clocks { rng.i64(-500..500) } else { 0 },
+        turns: ColdTurns::new(policy()),
+        sent_at: HashMap::new(),
+        hears_at: ids.iter().map(|_| rng.u64(..news)).collect(),
+        pending: 0,
+    }
+}
+
+/// Chooses a cold server for a request, as the idle ones are taken first; `None` for a warm one.
+fn choose(
+    gateway: &mut Gateway,
+    way: Way,
+    at: u64,
+    belief: Belief,
+    load: Load,
+    rng: &mut fastrand::Rng,
+) -> Option<usize> {
+    let heard = |gateway: &Gateway, server: usize| at >= gateway.hears_at[server];
+    if belief == Belief::Late {
+        // What is not known to be cold gets its part like all others.
+        let any = rng.usize(..load.cold + load.warm);
+        if any < load.cold && !heard(gateway, any) {
+            return Some(any);
+        }
+    }
+    let mut known: Vec<_> = (0..load.cold).filter(|s| heard(gateway, *s)).collect();
+    rng.shuffle(&mut known);
+    let open = known.into_iter().find(|s| gateway.may_send(way, *s, at, belief))?;
+    gateway.sent(open, at);
+    Some(open)
+}
+
+fn most_in_a_second(arrivals: &[u64]) -> usize {
+    let within = |(i, first): (usize, &u64)| {
+        arrivals[i..].iter().take_while(|at| **at < first + 1_000).count()
+    };
+    arrivals.iter().enumerate().map(within).max().unwrap_or(0)
+}
