test(soak): a failure domain that is emptied and returned, and cold engines, beside all other faults

New engines come cold, half of all are in a second domain, which the operator empties and returns; its engines are cold then, say so with their records, and crash above what they bear. In the end no cold engine may have got more than that within any second, and none of an emptied domain a request from a gateway that knows of it.

--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -40,6 +40,9 @@
     /// The store comes back from older copies.
     #[arg(long)]
     restores: bool,
+    /// A failure domain is emptied and returned, and engines are cold.
+    #[arg(long)]
+    domains: bool,
     /// The gateway's program; by default the one beside this one.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -67,6 +70,7 @@
             idle_routes: args.idle_routes,
             deadly: args.deadly,
             restores: args.restores,
+            domains: args.domains,
         };
         let outcome = play(&settings);
         println!(
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod checks;
 mod deadly;
+mod domains;
 mod faults;
 mod play;
 mod restores;
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -10,6 +10,7 @@
 
 use crate::checks::{Seen, violations};
 use crate::deadly;
+use crate::domains::Domains;
 use crate::faults::{bring_about, clear_ways, schedule};
 use crate::restores::Restores;
 use crate::world::World;
@@ -35,6 +36,8 @@
     pub deadly: bool,
     /// Whether the store comes back from older copies.
     pub restores: bool,
+    /// Whether a failure domain is emptied and returned, and engines are cold.
+    pub domains: bool,
 }
 
 /// What came of a play.
@@ -106,12 +109,17 @@
             });
         }
         let mut restores = Restores::new(settings.seed);
+        let mut domains = Domains::new(settings.seed);
         for planned in planned {
             std::thread::sleep(planned.after);
             world.fleet.revive();
             if settings.restores {
                 outcome.faults.extend(restores.step(&world));
             }
+            if settings.domains {
+                outcome.faults.extend(domains.step(&mut world));
+            }
+            domains.notes(planned.fault);
             outcome.faults.push(planned.fault.to_string());
             if let Err(why) = bring_about(&mut world, planned.fault) {
                 outcome.broken.push(why);
@@ -127,6 +135,9 @@
     if settings.restores {
         world.write_again();
     }
+    if settings.domains {
+        outcome.broken.extend(Domains::check(&world));
+    }
     outcome.broken.extend(recovers(&world));
     outcome.broken.extend(is_up_to_date(&world));
     if settings.deadly {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,9 +6,13 @@
 use std::time::Duration;
 
 use redwingfold_standins::LinkFault;
-use redwingfold_standins::platform::{Arrival, Config, Engine, Plan, PlatformFleet, StreamPlan};
+use redwingfold_standins::platform::{
+    Arrival, Config, Engine, EngineSpec, Plan, PlatformFleet, StreamPlan,
+};
+use serde_json::json;
 
 use crate::deadly::{ENDS_AFTER, is_deadly};
+use crate::domains::{COLD, DOMAIN, PER_SECOND};
 use crate::play::Settings;
 
 /// Bytes a second of a slow way to the store: a configuration of 400 kB takes a second.
@@ -87,6 +91,8 @@
     /// Engines that have drained.
     pub(crate) left: HashSet<String>,
     next_engine: u64,
+    /// Whether half of the engines are in another failure domain.
+    has_domains: bool,
 }
 
 impl World {
@@ -96,6 +102,13 @@
         let idle_routes = settings.idle_routes;
         let calm_way = if idle_routes > 0 { LinkFault::Rate(SLOW_WAY) } else { LinkFault::None };
         let mut config = Config { idle_routes, ..Config::default() };
+        let mut fleet = fleet;
+        if settings.domains {
+            let cold =
+                |name| json!({"name": name, "cold_s": COLD.as_secs(), "cold_per_s": PER_SECOND});
+            config.services = ["plain", "models"].into_iter().map(cold).collect();
+            fleet.bounds = json!({"cold_over": 1.5, "cold_slack": 5});
+        }
         for (route, timeout) in [(0, 3_000), (1, 3_000), (2, 8_000), (3, 8_000)] {
             let more = config.routes[route].more.as_object_mut();
             more.map(|more| more.insert("timeout_ms".to_owned(), timeout.into()));
@@ -108,6 +121,7 @@
             calm_way,
             left: HashSet::new(),
             next_engine: 0,
+            has_domains: settings.domains,
         };
         for _ in 0..settings.engines {
             world.add_engine("plain", "v1");
@@ -123,14 +137,31 @@
 
     /// Starts one more engine and registers it.
     pub(crate) fn add_engine(&mut self, service: &'static str, version: &str) -> Engine {
+        self.start_engine(service, version, None)
+    }
+
+    /// Starts one more engine that is cold for a time, in which it bears so many requests within a second.
+    pub(crate) fn add_cold_engine(&mut self, service: &'static str, cold: (Duration, usize)) {
+        self.start_engine(service, "v1", Some(cold));
+    }
+
+    fn start_engine(
+        &mut self,
+        service: &'static str,
+        version: &str,
+        cold: Option<(Duration, usize)>,
+    ) -> Engine {
         self.next_engine += 1;
+        let is_there = self.has_domains && (self.next_engine / 2).is_multiple_of(2);
+        let domain = if is_there { DOMAIN } else { "hall-1" };
         let (mishaps, salt) = (self.mishaps.clone(), self.next_engine * 16);
         let plan = move |arrival: &Arrival| match service {
             _ if is_deadly(arrival) => Plan::Crash(ENDS_AFTER),
             "plain" => plain(arrival, &mishaps, salt),
             _ => model(arrival, &mishaps, salt),
         };
-        self.fleet.engine_of(&format!("i-{}", self.next_engine), service, version, plan)
+        let id = format!("i-{}", self.next_engine);
+        self.fleet.engine_as(EngineSpec::new(&id, service, version, domain), cold, plan)
     }
 
     /// The operator and the engines write again what a store has lost.
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -99,9 +99,24 @@
     pub domain: String,
 }
 
+impl EngineSpec {
+    /// Makes an engine of a service: one of `models` has three of them.
+    pub fn new(id: &str, service: &str, version: &str, domain: &str) -> Self {
+        let models: &[&str] = if service == "models" { &["s", "m", "l"] } else { &[] };
+        Self {
+            id: id.to_owned(),
+            service: service.to_owned(),
+            version: version.to_owned(),
+            models: models.iter().map(|model| (*model).to_owned()).collect(),
+            domain: domain.to_owned(),
+        }
+    }
+}
+
 /// An engine that has just started.
 #[derive(Clone, Copy, Debug)]
 struct Cold {
+    since: Instant,
     until: Instant,
     /// Requests within a second above which it crashes.
     bears: usize,
@@ -244,7 +259,8 @@
 
     /// Makes it cold for a time, in which it crashes if more requests than it `bears` come within a second.
     pub fn cool(&self, span: Duration, bears: usize) {
-        let cold = Cold { until: Instant::now() + span, bears };
+        let since = Instant::now();
+        let cold = Cold { since, until: since + span, bears };
         *self.cold.lock().unwrap_or_else(PoisonError::into_inner) = Some(cold);
     }
 
@@ -253,11 +269,16 @@
         cold.filter(|cold| cold.until > Instant::now())
     }
 
-    /// Returns the most requests that arrived within any second while it was cold.
+    /// Returns the most requests for it that arrived within any second while it was last cold.
     pub fn most_while_cold(&self) -> usize {
-        let until = self.cold.lock().unwrap_or_else(PoisonError::into_inner).map(|cold| cold.until);
-        let mut arrivals: Vec<_> = self.arrivals().iter().map(|arrival| arrival.at).collect();
-        arrivals.retain(|at| until.is_some_and(|until| *at < until));
+        let cold = *self.cold.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(cold) = cold else { return 0 };
+        let is_meant = |a: &Arrival| {
+            a.head.get("expect-instance").is_none_or(|id| id == self.spec.id)
+                && (cold.since..cold.until).contains(&a.at)
+        };
+        let arrivals = self.arrivals();
+        let arrivals: Vec<_> = arrivals.iter().filter(|a| is_meant(a)).map(|a| a.at).collect();
         let within = |first: &Instant| {
             arrivals.iter().filter(|at| *at >= first && **at < *first + SECOND).count()
         };
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -141,17 +141,6 @@
     pub settings: PathBuf,
 }
 
-fn spec(id: &str, service: &str, version: &str, domain: &str) -> EngineSpec {
-    let models: &[&str] = if service == "models" { &["s", "m", "l"] } else { &[] };
-    EngineSpec {
-        id: id.to_owned(),
-        service: service.to_owned(),
-        version: version.to_owned(),
-        models: models.iter().map(|model| (*model).to_owned()).collect(),
-        domain: domain.to_owned(),
-    }
-}
-
 /// A store, engines, and gateways before them.
 #[derive(Debug)]
 pub struct PlatformFleet {
@@ -240,7 +229,7 @@
         version: &str,
         plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
     ) -> Engine {
-        self.engine_spec(spec(id, service, version, "hall-1"), None, plan)
+        self.engine_as(EngineSpec::new(id, service, version, "hall-1"), None, plan)
     }
 
     /// Starts an engine in a failure domain and registers it.
@@ -251,7 +240,7 @@
         service: &str,
         plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
     ) -> Engine {
-        self.engine_spec(spec(id, service, "v1", domain), None, plan)
+        self.engine_as(EngineSpec::new(id, service, "v1", domain), None, plan)
     }
 
     /// Starts an engine that is cold for a time, in which it bears so many requests within a second, and registers it.
@@ -262,10 +251,11 @@
         (span, bears): (Duration, usize),
         plan: impl Fn(&Arrival) -> Plan + Send + Sync + 'static,
     ) -> Engine {
-        self.engine_spec(spec(id, service, "v1", "hall-1"), Some((span, bears)), plan)
+        self.engine_as(EngineSpec::new(id, service, "v1", "hall-1"), Some((span, bears)), plan)
     }
 
-    fn engine_spec(
+    /// Starts an engine, cold for a time if `cold` says so, and registers it.
+    pub fn engine_as(
         &mut self,
         spec: EngineSpec,
         cold: Option<(Duration, usize)>,
