--- a/gateway/src/evacuation.rs
+++ b/gateway/src/evacuation.rs
@@ -43,23 +43,21 @@
                 r.servers(self.now()).filter(|server| server.domain == *domain).count()
             });
             let config = self.catalog().map_or(0, |catalog| catalog.version);
-            self.telemetry.gauge(&format!("domain.{domain}.emptied_ms"), 0);
             self.telemetry
                 .info(event, &[("domain", domain), ("servers", &servers), ("config", &config)]);
         }
         if !changes.is_empty() {
-            let emptied = self.evacuations.borrow().emptied().count();
-            self.telemetry.gauge("domains.emptied", emptied as u64);
+            self.show_evacuations();
             self.moved.notify(usize::MAX);
         }
     }
 
-    /// Shows on the metrics page which domains are emptied, and for how long.
+    /// Shows on the metrics page how many domains are emptied, and for how long the first of them has been.
     pub fn show_evacuations(&self) {
-        let now = self.now();
-        for (domain, since) in self.evacuations.borrow().emptied() {
-            let name = format!("domain.{domain}.emptied_ms");
-            self.telemetry.gauge(&name, now.since(since).0);
-        }
+        let evacuations = self.evacuations.borrow();
+        let first = evacuations.emptied().map(|(_, since)| since).min();
+        let longest = first.map_or(Millis(0), |since| self.now().since(since));
+        self.telemetry.gauge("domains.emptied", evacuations.emptied().count() as u64);
+        self.telemetry.gauge("domains.emptied_ms", longest.0);
     }
 }
