fix: keep an order to empty a domain while a copy that lacks it is passed on; ages of all feeds on the metrics page

Cause: after a restore the first whole read of a gateway is known to be of a copy, the next one, from the store or from another gateway's records, is of the same era and was taken for the present, and ended the order that the copy lacks.

An order that a copy has stands, also if it has ended here: it may have been given once more, and a read does not tell when.

The metrics page shows the age of servers and marks beside that of the operator's topic.

--- a/core/src/serving/evacuations.rs
+++ b/core/src/serving/evacuations.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{FailureDomain, Millis};
 
-/// Time for which the end of an order is remembered: copies from which the store comes back are some seconds old.
+/// Time for which the end of an order is remembered: servers are cold for seconds after it.
 const ENDED_KEPT: Millis = Millis(60_000);
 
 /// Time that the operator has to write an order again which a store from an older copy lacks.
@@ -22,7 +22,8 @@
 /// The orders in force.
 ///
 /// A store that comes back from an older copy ends none: what it lacks stays in force for as long as the operator takes
-/// to write again. Nor does it renew one that has ended, until it is written again.
+/// to write again, whoever reads or passes on the copy meanwhile. One that it has stands, though it may have ended since:
+/// it may as well have been written again, and a domain that idles for a moment harms less than one that gets work.
 ///
 /// ```
 /// use redwingfold_core::{EvacuationChange, Evacuations, Millis};
@@ -66,7 +67,9 @@
 
     /// Takes all orders that stand.
     pub fn replace(&mut self, orders: &[FailureDomain], now: Millis) -> Vec<EvacuationChange> {
-        let ended = self.unlisted(orders);
+        let is_kept = |order: &Order| order.ends_at.is_some_and(|at| now < at);
+        let mut ended = self.unlisted(orders);
+        ended.retain(|domain| !self.emptied.get(domain).is_some_and(is_kept));
         let mut changes: Vec<_> = orders.iter().filter_map(|d| self.order(d, now)).collect();
         changes.extend(ended.iter().filter_map(|d| self.take_back(d, now)));
         changes
@@ -84,11 +87,7 @@
                 order.ends_at.get_or_insert(now.after(REWRITTEN_WITHIN));
             });
         }
-        let has_ended = |domain: &&FailureDomain| {
-            self.returned.get(domain).is_some_and(|at| now.since(*at) < ENDED_KEPT)
-        };
-        let stand: Vec<_> = orders.iter().filter(|d| !has_ended(d)).cloned().collect();
-        stand.iter().filter_map(|domain| self.order(domain, now)).collect()
+        orders.iter().filter_map(|domain| self.order(domain, now)).collect()
     }
 
     fn unlisted(&self, orders: &[FailureDomain]) -> Vec<FailureDomain> {
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -220,6 +220,22 @@
     assert!(registry.has(&server("a", ServerState::Ready), Millis(9_000)));
 }
 
+/// A server says in its record how much longer it is cold, and later in answers. A record that was written before, and one
+/// of the same time that is read later, change nothing and are nothing new; a longer time is.
+#[test]
+fn server_stays_cold_as_long_as_it_ever_said() {
+    let cold = |left| BackendServer { cold_left: Millis(left), ..server("a", ServerState::Ready) };
+    let (id, mut registry) = (BackendId::from("a"), Registry::default());
+    registry.put(cold(3_000), Millis(1_000));
+    assert_eq!(registry.cold_left(&id, Millis(1_500)), Millis(2_500));
+    assert!(registry.has(&cold(1_800), Millis(2_300)) && registry.has(&cold(0), Millis(2_300)));
+    assert!(!registry.has(&cold(3_000), Millis(2_300)));
+    registry.is_cold(&id, Millis(3_000), Millis(2_300));
+    registry.put(cold(0), Millis(2_400));
+    assert_eq!(registry.cold_left(&id, Millis(2_400)), Millis(2_900));
+    assert!(registry.has_cold(Millis(5_299)) && !registry.has_cold(Millis(5_300)));
+}
+
 /// A server that fails two in five of its answers while its health is good is left out within
 /// about twenty answers; one that fails one in seven, as some calls do by themselves, stays in
 /// nearly always.
--- a/gateway/src/exchange/age.rs
+++ b/gateway/src/exchange/age.rs
@@ -72,11 +72,14 @@
         );
     }
 
-    /// Shows on the metrics page how old the operator's topic is here.
-    pub fn show_orders_age(&self) {
-        if let Some(age) = self.orders_age() {
-            self.telemetry.gauge("orders.age_ms", age.0);
-            self.telemetry.gauge("orders.is_behind", u64::from(self.is_behind(Feed::Orders)));
+    /// Shows on the metrics page how old is what the gateway knows of each feed.
+    pub fn show_ages(&self) {
+        let feeds = [(Feed::Orders, "orders"), (Feed::Servers, "servers"), (Feed::Marks, "marks")];
+        for (feed, name) in feeds {
+            if let Some(as_of) = self.with_feeds(|feeds| feeds.as_of(feed)) {
+                self.telemetry.gauge(&format!("{name}.age_ms"), self.now().since(as_of).0);
+            }
         }
+        self.telemetry.gauge("orders.is_behind", u64::from(self.is_behind(Feed::Orders)));
     }
 }
