test(core): a server that has left comes back with a copy that another gateway passes on

Work went, in this schedule, to a server that has left: after a restore, the list of a gateway that knows only the copy is taken for the present one. Found by asking of servers what a schedule had found of orders.

--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -220,6 +220,24 @@
     assert!(registry.has(&server("a", ServerState::Ready), Millis(9_000)));
 }
 
+/// A server has left, and the store comes back from a copy that lists it. A gateway that has just started knows only the copy
+/// and passes it on: the server was taken back, and got work while it stopped. It is taken back with its next heartbeat.
+#[test]
+fn server_that_has_left_does_not_come_back_with_a_copy_that_is_passed_on() {
+    let mut registry = Registry::default();
+    let listed = || vec![server("left", ServerState::Ready), server("stays", ServerState::Ready)];
+    registry.replace(listed(), Millis(0));
+    registry.remove(&BackendId::from("left"), Millis(1_000));
+    registry.replace_by_copy(listed(), Millis(2_000));
+    registry.replace(listed(), Millis(2_400));
+    assert_eq!(registry.servers(Millis(2_400)).count(), 1);
+    registry.put(server("left", ServerState::Ready), Millis(3_000));
+    assert_eq!(registry.servers(Millis(3_000)).count(), 2);
+    registry.remove(&BackendId::from("left"), Millis(20_000));
+    registry.replace(listed(), Millis(21_000));
+    assert_eq!(registry.servers(Millis(21_000)).count(), 2);
+}
+
 /// A server says in its record how much longer it is cold, and later in answers. A record that was written before, and one
 /// of the same time that is read later, change nothing and are nothing new; a longer time is.
 #[test]
