feat(soak): keep what gateways logged in a seed that broke a promise

A seed that failed could not be traced: only the last process's lines of each gateway were at hand, and they went with the play. Earlier processes' lines are kept now, and all are written to a folder, by their times and with the gateway's number.

--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -43,6 +43,9 @@
     /// A failure domain is emptied and returned, and engines are cold.
     #[arg(long)]
     domains: bool,
+    /// Folder for the logs of seeds that broke a promise.
+    #[arg(long, default_value = "results")]
+    logs: PathBuf,
     /// The gateway's program; by default the one beside this one.
     #[arg(long)]
     program: Option<PathBuf>,
@@ -86,6 +89,10 @@
             failed += 1;
             println!("  faults: {}", outcome.faults.join(", "));
             outcome.broken.iter().take(10).for_each(|what| println!("  {what}"));
+            std::fs::create_dir_all(&args.logs)?;
+            let path = args.logs.join(format!("soak-{}.log", settings.seed));
+            std::fs::write(&path, outcome.lines.join("\n"))?;
+            println!("  logs: {}", path.display());
         }
     }
     eyre::ensure!(failed == 0, "{failed} seeds broke a promise");
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -53,6 +53,8 @@
     pub faults: Vec<String>,
     /// Promises that were broken.
     pub broken: Vec<String>,
+    /// What the gateways logged, if a promise was broken.
+    pub lines: Vec<String>,
 }
 
 /// Time that a caller waits.
@@ -155,6 +157,9 @@
     let never_cleared = innocent.iter().filter(|path| !is_served(&world, path));
     outcome.broken.extend(never_cleared.map(|path| format!("{path}: innocent, and still refused")));
     outcome.broken.extend(violations(&seen, &arrivals));
+    if !outcome.broken.is_empty() {
+        outcome.lines = world.fleet.lines();
+    }
     outcome
 }
 
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -152,6 +152,8 @@
     pub crashed: Vec<Engine>,
     /// The gateways.
     pub gateways: Vec<Gateway>,
+    /// What earlier processes of gateways logged, by their numbers.
+    pub earlier_lines: Vec<(usize, Vec<String>)>,
     /// Ways to the engines, by id, if the fleet has any.
     pub engine_ways: HashMap<String, TcpProxy>,
     /// The way to the store, if the fleet has any.
@@ -184,6 +186,7 @@
             engines: Vec::new(),
             crashed: Vec::new(),
             gateways: Vec::new(),
+            earlier_lines: Vec::new(),
             engine_ways: HashMap::new(),
             store_way: None,
             program: Path::new(program).to_owned(),
@@ -338,6 +341,7 @@
     /// Starts a gateway anew after its end.
     pub fn restart(&mut self, n: usize) {
         let settings = self.gateways[n].settings.clone();
+        self.earlier_lines.push((n, self.gateways[n].process.lines()));
         self.gateways[n] = self.launch(&settings);
     }
 
@@ -383,6 +387,17 @@
         }
     }
 
+    /// Returns what all processes of gateways have logged, each line with its gateway's number, by their times.
+    pub fn lines(&self) -> Vec<String> {
+        let present = self.gateways.iter().enumerate().map(|(n, g)| (n, g.process.lines()));
+        let all = self.earlier_lines.iter().cloned().chain(present);
+        let numbered =
+            all.flat_map(|(n, lines)| lines.into_iter().map(move |l| format!("{l} gateway={n}")));
+        let mut lines: Vec<_> = numbered.collect();
+        lines.sort_unstable();
+        lines
+    }
+
     /// Sends a request to a gateway: method, path, id, other header lines, body.
     pub fn send(
         &self,
