--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    BackendId, BackendServer, Catalog, ColdTurns, ConnectTimes, Evacuations, Leads, Millis,
-    Pressure, PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry,
-    RegistryPolicy, RepeatBudget, RepeatUse, Rises, ServerEnds, ServiceName, StreamTimes,
+    Catalog, ColdTurns, ConnectTimes, Evacuations, Leads, Millis, Pressure, Quarantine,
+    QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises,
+    ServerEnds, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -19,7 +19,7 @@
 use crate::exchange::{Orders, WrittenServers};
 use crate::facts::Dialect;
 use crate::feeds::{Feed, Feeds, ServerChange};
-use crate::load::{LoadTable, short_id};
+use crate::load::LoadTable;
 use crate::quarantine::Claim;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
@@ -72,9 +72,9 @@
     pub(crate) held_bytes: Cell<usize>,
     pub(crate) under_way: Cell<usize>,
     catalog: RefCell<Option<Rc<Catalog>>>,
-    registry: RefCell<Registry>,
-    is_registry_known: Cell<bool>,
-    rollouts: RefCell<Rollouts>,
+    pub(crate) registry: RefCell<Registry>,
+    pub(crate) is_registry_known: Cell<bool>,
+    pub(crate) rollouts: RefCell<Rollouts>,
     feeds: RefCell<Feeds>,
     pub(crate) orders: RefCell<Orders>,
     /// Runs that ended, and servers that did.
@@ -227,88 +227,6 @@
         self.telemetry.gauge("config.version", version);
     }
 
-    /// Takes a backend server's record.
-    pub fn put_server(&self, server: BackendServer) {
-        let now = self.now();
-        let known = self.registry.borrow().get(&server.id).cloned();
-        self.rollouts.borrow_mut().saw(&server.service, &server.version, false, now);
-        if known.as_ref().map(|k| (k.state, k.addr)) != Some((server.state, server.addr)) {
-            let state = format!("{:?}", server.state).to_lowercase();
-            self.telemetry.info(
-                "server",
-                &[
-                    ("server", &server.id),
-                    ("service", &server.service),
-                    ("addr", &server.addr),
-                    ("version", &server.version),
-                    ("state", &state),
-                ],
-            );
-        }
-        let id = server.id.clone();
-        if self.registry.borrow_mut().put(server, now) == PutOutcome::Restarted {
-            self.started_again(&id);
-        }
-    }
-
-    /// Forgets what is believed of a server's earlier start.
-    fn started_again(&self, id: &BackendId) {
-        self.loads.forget(id);
-        self.server_ended(id);
-        self.telemetry.info("server_restarted", &[("server", id)]);
-    }
-
-    /// Takes the removal of a backend server's record.
-    pub fn remove_server(&self, id: &BackendId) {
-        self.telemetry.info("server_removed", &[("server", id)]);
-        self.server_lapsed(id);
-        self.registry.borrow_mut().remove(id, self.now());
-    }
-
-    /// Takes changes in the list of backend servers.
-    pub fn take_changes(&self, changes: Vec<ServerChange>) {
-        for change in changes {
-            match change {
-                ServerChange::Gone(id) => self.remove_server(&id),
-                ServerChange::Put(server) => self.put_server(server),
-            }
-        }
-    }
-
-    /// Returns what of some records is new to this gateway.
-    pub fn new_changes(&self, changes: Vec<ServerChange>) -> Vec<ServerChange> {
-        let (registry, now) = (self.registry.borrow(), self.now());
-        let is_new = |change: &ServerChange| match change {
-            ServerChange::Gone(_) => true,
-            ServerChange::Put(server) => !registry.has(server, now),
-        };
-        changes.into_iter().filter(is_new).collect()
-    }
-
-    /// Takes the whole list of backend servers, as the store knows it.
-    pub fn replace_servers(&self, servers: Vec<BackendServer>, copy: StoreCopy) {
-        let now = self.now();
-        let is_first = !self.is_registry_known.get();
-        for server in &servers {
-            self.rollouts.borrow_mut().saw(&server.service, &server.version, is_first, now);
-        }
-        self.telemetry.info("servers_listed", &[("servers", &servers.len())]);
-        let restarted = match copy {
-            StoreCopy::Present => self.registry.borrow_mut().replace(servers, now),
-            StoreCopy::Older => self.registry.borrow_mut().replace_by_copy(servers, now),
-        };
-        restarted.iter().for_each(|id| self.started_again(id));
-        self.is_registry_known.set(true);
-        self.moved.notify(usize::MAX);
-    }
-
-    /// Takes from another gateway that servers' records are gone, and the time after `as_of` at which they are to be
-    /// taken as gone themselves.
-    pub(crate) fn lapse_servers(&self, lapsing: &[(BackendId, Millis)], as_of: Millis) {
-        let mut registry = self.registry.borrow_mut();
-        lapsing.iter().for_each(|(id, left)| registry.lapse(id, as_of.after(*left)));
-    }
-
     /// Takes that the store has come back from an older copy, as its eras say.
     ///
     /// What is in force stays so until the store, written again, says otherwise; what others wrote there is written again
@@ -323,32 +241,6 @@
         self.with_rollouts(|r| r.doubt_statuses(now));
     }
 
-    /// Notes that the store that lists the servers was in trouble.
-    pub fn store_was_away(&self) {
-        self.registry.borrow_mut().store_was_away(self.now());
-    }
-
-    /// Forgets servers whose grace has ended.
-    pub fn expire_servers(&self) {
-        for id in self.registry.borrow_mut().expire(self.now()) {
-            self.loads.forget(&id);
-            self.telemetry.info("server_gone", &[("server", &id)]);
-        }
-    }
-
-    /// Logs that a server is left out because gateways could not reach it, this one the last or another.
-    pub(crate) fn left_out_unreached(&self, server: u32, told_by: Option<SocketAddr>) {
-        self.telemetry.count("servers.unreached", 1);
-        let registry = self.registry.borrow();
-        let found = registry.servers(self.now()).find(|s| short_id(&s.id) == server);
-        let Some(server) = found else { return };
-        let told_by = told_by.map_or_else(|| "self".to_owned(), |peer| peer.to_string());
-        self.telemetry.info(
-            "server_unreached",
-            &[("server", &server.id), ("addr", &server.addr), ("told_by", &told_by)],
-        );
-    }
-
     /// Works with the roll-outs.
     pub fn with_rollouts<T>(&self, f: impl FnOnce(&mut Rollouts) -> T) -> T {
         f(&mut self.rollouts.borrow_mut())
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -33,6 +33,7 @@
 mod rollout_turns;
 mod rollouts;
 mod serve;
+mod server_list;
 mod sessions;
 mod settings;
 mod upstream;
