test: a server that says only in its answers that it is cold

Without what an answer says, the server ends (seen red with that line taken out); with it, each gateway knows from the first answer on, and none more than 17 a second comes, which is what it bears.

--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -380,9 +380,12 @@
 
     fn head(&self, arrival: &Arrival, status: u16, more: &str) -> String {
         let running = self.running.load(Ordering::SeqCst);
+        let cold = self.cold().map_or_else(String::new, |cold| {
+            format!("Cold-Ms: {}\r\n", (cold.until - Instant::now()).as_millis())
+        });
         format!(
             "HTTP/1.1 {status} Any\r\nAttempt-Id: {}\r\nResponse-Stamp: by-{}\r\n\
-             Instance-Load: {running},0,8\r\n{more}",
+             Instance-Load: {running},0,8\r\n{cold}{more}",
             arrival.id(),
             self.spec.id,
         )
