feat(gateway): log and count the limits that backend servers report

Cause: a server that is short of a resource reports in its answers how many requests per second it accepts. No log line and no metric showed this, so three hypotheses on why limited servers receive too much could not be told apart: the limit is not read, each gateway applies it separately, or some sends bypass the place where it is applied.

Change: the header is decoded, and the limit is recorded per server incarnation, as of the newest answer (core/src/serving/limits.rs). One log line is written when a server reports a new or different limit (server_limited), and one when it no longer reports any (server_unlimited). The metrics page shows servers.limited and limit.sent. Server selection does not depend on the limit yet.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -164,6 +164,48 @@
     "a number of thousandths"
 );
 
+/// Requests per second; finite and non-negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Creates a rate; returns `None` if `per_second` is negative or not finite.
+    ///
+    /// ```
+    /// use redwingfold_core::RequestRate;
+    /// assert_eq!(RequestRate::new(1.5).map(RequestRate::per_second), Some(1.5));
+    /// assert_eq!(RequestRate::new(-1.0), None);
+    /// ```
+    pub fn new(per_second: f64) -> Option<Self> {
+        (per_second.is_finite() && per_second >= 0.0).then_some(Self(per_second))
+    }
+
+    /// Returns the number of requests per second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl fmt::Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        let rate = text.parse().ok().and_then(Self::new);
+        rate.ok_or_else(|| {
+            ParseIdError::new(
+                "a request rate (a finite, non-negative number of requests per second)",
+                text,
+            )
+        })
+    }
+}
+
 impl Millis {
     /// Returns the time `span` later; saturates.
     #[must_use]
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,7 +40,7 @@
 pub use evidence::{Evidence, RatingCounter, TallyRecord, next_step};
 pub use ids::{
     ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis, ModelName, Offset,
-    ParseIdError, PerMille, Region, RequestId, SessionId, VersionName,
+    ParseIdError, PerMille, Region, RequestId, RequestRate, SessionId, VersionName,
 };
 pub use label::{Labels, ParseSelectorError, Selector};
 pub use loads::{FenceRecord, LoadFold, LoadRecord};
@@ -53,12 +53,12 @@
     Admission, Arm, BackendId, BackendServer, Broke, CallLimits, Canary, CanaryPolicy, Catalog,
     ColdLimit, ColdPolicy, ColdTurns, ConnectTimes, Counts, Customer, EndedRun, EvacuationChange,
     Evacuations, EventId, EventSplitter, ExposureBudget, Fault, FeedHeard, FeedPast, FeedTold,
-    FeedView, Fingerprint, HealthPolicy, Homes, Larger, Leads, Mark, MarkChange, Members, OrderAge,
-    Owed, Patience, PeerLoad, PeerLoads, Phase, Place, PlacementPolicy, Pressure, Priority,
-    PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy, Repeat,
-    RepeatBudget, RepeatUse, Rises, RolloutOrder, Route, RouteEvidence, RouteName, Sent,
-    ServerEnds, ServerHealth, ServerReport, ServerState, Service, ServiceName, Shared,
-    SilencePolicy, SilenceWatch, SizePolicy, StatusBook, StreamRules, StreamTimes, Times,
-    Unreached, UrgencyPolicy, WholeEvents, Work, is_newest_shorter, place,
+    FeedView, Fingerprint, HealthPolicy, Homes, Larger, Leads, LimitChange, Mark, MarkChange,
+    Members, OrderAge, Owed, Patience, PeerLoad, PeerLoads, Phase, Place, PlacementPolicy,
+    Pressure, Priority, PutOutcome, Quarantine, QuarantinePolicy, ReadRates, Regions, Registry,
+    RegistryPolicy, Repeat, RepeatBudget, RepeatUse, Rises, RolloutOrder, Route, RouteEvidence,
+    RouteName, Sent, ServerEnds, ServerHealth, ServerLimits, ServerReport, ServerState, Service,
+    ServiceName, Shared, SilencePolicy, SilenceWatch, SizePolicy, StatusBook, StreamRules,
+    StreamTimes, Times, Unreached, UrgencyPolicy, WholeEvents, Work, is_newest_shorter, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -107,6 +107,9 @@
         }
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
+        if gw.limit_of(server).is_some() {
+            gw.telemetry.count("limit.sent", 1);
+        }
         self.count_send(server);
         let reading = self.reading_time(self.size.unwrap_or(0));
         let expected = unread.after(reading).after(self.work(self.size).shared);
@@ -137,7 +140,12 @@
         if let Some(load) = facts.load {
             gw.loads.reported(server, load, now);
         }
-        if let Some(attempted) = self.refusal(&head, &facts) {
+        let refusal = self.refusal(&head, &facts);
+        // Invalid answers and answers from another server must not change the recorded limit.
+        if matches!(refusal, None | Some(Attempted::NotRun(_))) {
+            gw.record_limit(server, facts.rate_limit);
+        }
+        if let Some(attempted) = refusal {
             if !matches!(attempted, Attempted::Lost(_)) {
                 under_way.was_not_run();
             }
--- a/gateway/src/facts.rs
+++ b/gateway/src/facts.rs
@@ -1,7 +1,9 @@
 //! What requests, attempts and answers say, apart from how a deployment writes it.
 
 use http::{HeaderMap, StatusCode};
-use redwingfold_core::{BackendId, CustomerName, EventId, Millis, ModelName, Priority};
+use redwingfold_core::{
+    BackendId, CustomerName, EventId, Millis, ModelName, Priority, RequestRate,
+};
 
 /// Which model a caller asks for.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -104,6 +106,8 @@
     pub load: Option<ReportedLoad>,
     /// How much longer the server is cold, if it says so.
     pub cold_left: Option<Millis>,
+    /// Requests per second that the server accepts from all gateways combined, if limited.
+    pub rate_limit: Option<RequestRate>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use redwingfold_core::{
     Catalog, ColdTurns, ConnectTimes, Evacuations, Leads, Millis, Pressure, Quarantine,
     QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises,
-    ServerEnds, ServiceName, StreamTimes,
+    ServerEnds, ServerLimits, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -86,6 +86,7 @@
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) regions: RefCell<Regions>,
     pub(crate) cold_turns: RefCell<ColdTurns>,
+    pub(crate) server_limits: RefCell<ServerLimits>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
     /// When the store came back from an older copy.
@@ -159,6 +160,7 @@
             evacuations: RefCell::default(),
             regions: RefCell::default(),
             cold_turns: RefCell::new(cold_turns),
+            server_limits: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod flight_log;
 mod gateway;
 mod head_watch;
+mod limits;
 mod load;
 mod meeting;
 mod model_choice;
