--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -122,6 +122,19 @@
     bears: usize,
 }
 
+/// A limit that an engine names.
+#[derive(Clone, Copy, Debug)]
+struct Limit {
+    per_second: f64,
+    since: Instant,
+}
+
+/// Time after an engine first named a limit from which all gateways must keep to it.
+const LIMIT_KNOWN: Duration = Duration::from_secs(3);
+
+/// Span over which the requests that a limited engine gets are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
 const SECOND: Duration = Duration::from_secs(1);
 
 type Planner = dyn Fn(&Arrival) -> Plan + Send + Sync;
@@ -137,6 +150,7 @@
     running: Arc<AtomicUsize>,
     plan: Arc<Mutex<Arc<Planner>>>,
     cold: Arc<Mutex<Option<Cold>>>,
+    limit: Arc<Mutex<Option<Limit>>>,
     sockets: Arc<Sockets>,
 }
 
@@ -224,6 +238,7 @@
             running: Arc::default(),
             plan,
             cold: Arc::default(),
+            limit: Arc::default(),
             sockets: Arc::new(sockets),
         };
         let serving = engine.clone();
@@ -264,6 +279,39 @@
         *self.cold.lock().unwrap_or_else(PoisonError::into_inner) = Some(cold);
     }
 
+    /// Names a limit in its answers from now on, or none.
+    pub fn name_limit(&self, per_second: Option<f64>) {
+        let limit = per_second.map(|per_second| Limit { per_second, since: Instant::now() });
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
+    }
+
+    fn limit(&self) -> Option<Limit> {
+        *self.limit.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the requests for it that arrived since it named its limit, as times from then on.
+    pub fn arrivals_under_limit(&self) -> Vec<Duration> {
+        let Some(limit) = self.limit() else { return Vec::new() };
+        let is_meant =
+            |a: &Arrival| a.head.get("expect-instance").is_none_or(|id| id == self.spec.id);
+        let arrivals = self.arrivals();
+        let meant = arrivals.iter().filter(|a| is_meant(a) && a.at >= limit.since);
+        meant.map(|a| a.at - limit.since).collect()
+    }
+
+    /// Returns the most requests that it got within any four seconds under its limit, once all gateways must know it, and
+    /// the most that its limit allows.
+    pub fn most_under_limit(&self) -> (usize, usize) {
+        let Some(limit) = self.limit() else { return (0, 0) };
+        let arrivals: Vec<_> =
+            self.arrivals_under_limit().into_iter().filter(|at| *at >= LIMIT_KNOWN).collect();
+        let within = |first: &Duration| {
+            arrivals.iter().filter(|at| *at >= first && **at < *first + LIMIT_WINDOW).count()
+        };
+        let allowed = limit.per_second * LIMIT_WINDOW.as_secs_f64() * 1.5 + 5.0;
+        (arrivals.iter().map(within).max().unwrap_or(0), allowed as usize)
+    }
+
     fn cold(&self) -> Option<Cold> {
         let cold = *self.cold.lock().unwrap_or_else(PoisonError::into_inner);
         cold.filter(|cold| cold.until > Instant::now())
@@ -383,9 +431,12 @@
         let cold = self.cold().map_or_else(String::new, |cold| {
             format!("Cold-Ms: {}\r\n", (cold.until - Instant::now()).as_millis())
         });
+        let limit = self
+            .limit()
+            .map_or_else(String::new, |limit| format!("Server-Limit: {}\r\n", limit.per_second));
         format!(
             "HTTP/1.1 {status} Any\r\nAttempt-Id: {}\r\nResponse-Stamp: by-{}\r\n\
-             Instance-Load: {running},0,8\r\n{cold}{more}",
+             Instance-Load: {running},0,8\r\n{cold}{limit}{more}",
             arrival.id(),
             self.spec.id,
         )
