fix: enforce limits reported by backend servers across all gateways

Servers short of a resource received 19 requests within 4 s at limits of 1 and 1.6 requests per second, where 11 and 15 are allowed.

Cause: no gateway acted on a reported limit, so a limited server was selected by its load like any other. The limit bounds the requests of all gateways combined, which no component counted. The log lines added earlier rule out two other explanations: that each gateway applies the limit on its own, and that only some kinds of requests bypass it.

Change: the turns that divide the capacity of cold servers among gateways now support any rate (core/src/serving/turns.rs) and also apply to limited servers. They are enforced in the single place where a server is chosen, which covers first sends, retries, larger models, resumed streams, trials and sessions. LimitPolicy derives the target rate from the number of requests that a limit allows within four seconds, such that the limit holds even if the fleet is twice as large as a gateway knows. Limits, and their removal, are sent to the other gateways with each answer, so that a restarted gateway learns them without asking. If all servers are cold or limited, a request waits for a turn for up to a third of its remaining time; otherwise it is refused with the time until the next turn.

--- a/core/src/serving/limits.rs
+++ b/core/src/serving/limits.rs
@@ -10,6 +10,77 @@
 /// Maximum number of servers recorded; beyond it, the one with the oldest answer is evicted.
 const MAX_SERVERS: usize = 20_000;
 
+/// Bounds on the requests that all gateways combined send to a server that reports a limit.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitPolicy {
+    /// Sliding window over which requests are counted.
+    pub window: Millis,
+    /// Multiple of the reported limit that may be sent within a window.
+    pub over: f64,
+    /// Additional requests allowed per window.
+    pub slack: f64,
+    /// Maximum ratio of the actual fleet size to the size that a gateway knows.
+    pub max_fleet_ratio: f64,
+    /// Standard deviations between the mean and the maximum number of requests per window.
+    pub std_deviations: f64,
+}
+
+impl Default for LimitPolicy {
+    fn default() -> Self {
+        Self {
+            window: Millis(4_000),
+            over: 1.5,
+            slack: 5.0,
+            max_fleet_ratio: 2.0,
+            std_deviations: 4.5,
+        }
+    }
+}
+
+impl LimitPolicy {
+    /// Returns the maximum number of requests per window under a limit.
+    pub fn most(&self, limit: RequestRate) -> f64 {
+        limit.per_second() * self.window.0 as f64 / 1000.0 * self.over + self.slack
+    }
+
+    /// Returns the target rate of all gateways combined for a server that reports `limit`, given `fleet` known
+    /// gateways.
+    ///
+    /// Gateways send at independent times. The number of requests per window is modeled as a Poisson count or, if few
+    /// gateways send often, as a sum of counts with a standard deviation of at most 1/2 per gateway; the model with the
+    /// higher mean applies.
+    ///
+    /// ```
+    /// use redwingfold_core::{LimitPolicy, RequestRate};
+    /// let policy = LimitPolicy::default();
+    /// let rate = |limit, fleet| policy.rate(RequestRate::new(limit).unwrap(), fleet).per_second();
+    /// assert!(rate(8.0, 4) <= 8.0);
+    /// assert!(rate(8.0, 330) < rate(8.0, 4));
+    /// // Only an answer can clear a limit, so some requests are sent even at a limit of zero.
+    /// assert!(rate(0.0, 4) > 0.0);
+    /// ```
+    pub fn rate(&self, limit: RequestRate, fleet: usize) -> RequestRate {
+        let min_rate = self.rate_for_mean(self.poisson_mean(RequestRate::default()));
+        let max_fleet = fleet as f64 * self.max_fleet_ratio;
+        let periodic_mean = self.most(limit) - self.std_deviations * max_fleet.sqrt() / 2.0;
+        let mean = self.poisson_mean(limit).max(periodic_mean);
+        let rate = self.rate_for_mean(mean).min(limit.per_second().max(min_rate));
+        RequestRate::new(rate).unwrap_or_default()
+    }
+
+    /// Returns the mean of a Poisson count that is `std_deviations` below the maximum.
+    fn poisson_mean(&self, limit: RequestRate) -> f64 {
+        let root = (self.std_deviations.powi(2) + 4.0 * self.most(limit)).sqrt();
+        ((root - self.std_deviations) / 2.0).powi(2)
+    }
+
+    /// Returns the target rate, in requests per second, that yields `mean` requests per window in the largest
+    /// possible fleet.
+    fn rate_for_mean(&self, mean: f64) -> f64 {
+        mean / self.max_fleet_ratio / (self.window.0 as f64 / 1000.0)
+    }
+}
+
 /// How an answer changes the recorded limit of a server.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum LimitChange {
@@ -71,6 +142,11 @@
         self.0.get(&server).and_then(|report| report.limit)
     }
 
+    /// Returns whether a current or recently cleared limit of a server is recorded.
+    pub fn has(&self, server: u64) -> bool {
+        self.0.contains_key(&server)
+    }
+
     /// Returns whether no limits, current or cleared, are recorded.
     pub fn is_empty(&self) -> bool {
         self.0.is_empty()
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -26,6 +26,7 @@
 mod sizes;
 mod status;
 mod stream_time;
+mod turns;
 mod unreached;
 mod urgency;
 
@@ -36,7 +37,7 @@
     BackendId, CallLimits, Catalog, Customer, Priority, Repeat, Route, RouteName, Service,
     ServiceName, StreamRules,
 };
-pub use cold::{ColdLimit, ColdPolicy, ColdTurns};
+pub use cold::{ColdLimit, ColdPolicy};
 pub use connect_time::ConnectTimes;
 pub use evacuations::{EvacuationChange, Evacuations};
 pub use events::{EventId, EventSplitter, WholeEvents};
@@ -46,7 +47,7 @@
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use homes::{Homes, Regions};
 pub use leads::Leads;
-pub use limits::{LimitChange, ServerLimits};
+pub use limits::{LimitChange, LimitPolicy, ServerLimits};
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
 pub use members::Members;
 pub use patience::Patience;
@@ -58,5 +59,6 @@
 pub use sizes::{Larger, Pressure, Rises, SizePolicy};
 pub use status::StatusBook;
 pub use stream_time::StreamTimes;
+pub use turns::SendTurns;
 pub use unreached::Unreached;
 pub use urgency::UrgencyPolicy;
--- /dev/null
+++ b/core/src/serving/turns.rs
@@ -0,0 +1,147 @@
+//! Turns that divide a backend server's request rate among gateways.
+
+use std::collections::HashMap;
+
+use super::catalog::BackendId;
+use crate::ids::{Millis, RequestRate};
+
+/// Maximum time for which a turn stays open.
+const OPEN_FOR: Millis = Millis(250);
+
+/// Gateways that a fleet is taken to have until the others could be heard.
+const UNKNOWN_FLEET: usize = 330;
+
+/// Time in which gateways hear of all others after the first word of them.
+const SETTLING: Millis = Millis(3_000);
+
+/// Time for which the largest fleet that was known counts: a gateway that hears nobody may be cut off, while the others
+/// send on.
+const LARGEST_KEPT: Millis = Millis(60_000);
+
+/// Maximum time between two turns, for rates close to zero.
+const MAX_PERIOD: Millis = Millis(3_600_000);
+
+/// How long a turn is kept after its last lookup.
+const TURN_RETENTION: Millis = Millis(60_000);
+
+/// Minimum number of recorded turns before stale ones are removed.
+const MIN_CLEANUP_THRESHOLD: usize = 256;
+
+/// The number of gateways, as one of them may count on.
+///
+/// Load pattern: nearly all gateways start anew while servers are cold. Each knows nobody as yet; taken for the only
+/// one, each would send all that a server bears.
+#[derive(Clone, Copy, Debug, Default)]
+struct Fleet {
+    largest: usize,
+    seen_at: Millis,
+    /// When others could first be heard.
+    met_at: Option<Millis>,
+}
+
+impl Fleet {
+    fn saw(&mut self, fleet: usize, now: Millis) {
+        if fleet >= self.largest || now.since(self.seen_at) >= LARGEST_KEPT {
+            (self.largest, self.seen_at) = (fleet, now);
+        }
+    }
+
+    fn size(&self, now: Millis) -> usize {
+        let is_settled = self.met_at.is_some_and(|at| now.since(at) >= SETTLING);
+        let least = if is_settled { 1 } else { UNKNOWN_FLEET };
+        self.largest.max(least)
+    }
+}
+
+/// This gateway's turns at servers that accept a limited request rate from all gateways combined.
+///
+/// Load pattern: servers that have just started or report a limit are idle, so every gateway prefers them to loaded
+/// ones, and their combined requests exceed what the servers accept. No gateway sees what the others send. Each
+/// therefore has one turn at each of these servers per `fleet / rate` seconds, at a randomly drawn time. Unused turns
+/// expire, because accumulated ones would all be used in a single burst.
+///
+/// ```
+/// use redwingfold_core::{Millis, RequestRate, SendTurns};
+/// let rate = RequestRate::new(3.0).unwrap();
+/// let mut turns = SendTurns::default();
+/// turns.met(Millis(0));
+/// turns.saw_fleet(3, Millis(0));
+/// let id = "i-1".into();
+/// assert_eq!(turns.wait(&id, rate, Millis(5_000), 700), Millis(700));
+/// assert_eq!(turns.wait(&id, rate, Millis(5_700), 0), Millis(0));
+/// turns.sent(&id, rate, Millis(5_700));
+/// assert_eq!(turns.wait(&id, rate, Millis(5_700), 0), Millis(1_000));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct SendTurns {
+    fleet: Fleet,
+    turns: HashMap<BackendId, Turn>,
+    /// Number of turns at which stale ones are next removed.
+    cleanup_threshold: usize,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Turn {
+    opens_at: Millis,
+    looked_at: Millis,
+}
+
+impl SendTurns {
+    /// Notes that the others could be heard from now on, or that there are none.
+    pub fn met(&mut self, now: Millis) {
+        self.fleet.met_at.get_or_insert(now);
+    }
+
+    /// Notes how many gateways know of each other, this one included.
+    pub fn saw_fleet(&mut self, fleet: usize, now: Millis) {
+        self.fleet.saw(fleet, now);
+    }
+
+    /// Returns the number of gateways to assume, this one included.
+    pub fn fleet(&self, now: Millis) -> usize {
+        self.fleet.size(now)
+    }
+
+    /// Returns the time until this gateway may send to a server that accepts `rate` from all gateways combined; `draw`
+    /// is a random number.
+    pub fn wait(&mut self, id: &BackendId, rate: RequestRate, now: Millis, draw: u64) -> Millis {
+        let period = self.period(rate, now);
+        let open_for = OPEN_FOR.min(period);
+        let drawn = now.after(Millis(draw % period.0));
+        self.make_room(now);
+        let turn = Turn { opens_at: drawn, looked_at: now };
+        let turn = self.turns.entry(id.clone()).or_insert(turn);
+        turn.looked_at = now;
+        // The fleet has shrunk or the rate has risen. The turn is drawn anew, because a time derived from `now` would
+        // be the same on all gateways.
+        if turn.opens_at > now.after(period) {
+            turn.opens_at = drawn;
+        }
+        let missed = now.since(turn.opens_at.after(open_for)).0.div_ceil(period.0);
+        turn.opens_at = turn.opens_at.after(Millis(missed * period.0));
+        turn.opens_at.since(now)
+    }
+
+    /// Records a send to a server, which uses up the current turn.
+    pub fn sent(&mut self, id: &BackendId, rate: RequestRate, now: Millis) {
+        let period = self.period(rate, now);
+        if let Some(turn) = self.turns.get_mut(id) {
+            turn.opens_at = turn.opens_at.after(period);
+        }
+    }
+
+    fn period(&self, rate: RequestRate, now: Millis) -> Millis {
+        let rate = rate.per_second().max(f64::MIN_POSITIVE);
+        let period = self.fleet.size(now) as f64 * 1000.0 / rate;
+        Millis((period as u64).clamp(1, MAX_PERIOD.0))
+    }
+
+    fn make_room(&mut self, now: Millis) {
+        if self.turns.len() < self.cleanup_threshold.max(MIN_CLEANUP_THRESHOLD) {
+            return;
+        }
+        self.turns.retain(|_, turn| now.since(turn.looked_at) < TURN_RETENTION);
+        // Doubling keeps the amortized cost of an insertion constant.
+        self.cleanup_threshold = self.turns.len() * 2;
+    }
+}
--- a/core/tests/cold.rs
+++ b/core/tests/cold.rs
@@ -1,24 +1,34 @@
 //! What all gateways together send to backend servers that have just started.
 
-mod cold_fleet;
+mod turn_fleet;
 
-use cold_fleet::{Belief, LIMIT, Load, Played, Way, play, policy};
+use redwingfold_core::{ColdLimit, ColdPolicy, Millis};
+use turn_fleet::{Belief, Load, Way, worst};
+
+/// What a cold server bears.
+const LIMIT: ColdLimit = ColdLimit { lasts: Millis(3_000), per_s: 12.0 };
 
 const SEEDS: u64 = 3;
 
+/// How near all gateways come to it.
+fn policy() -> ColdPolicy {
+    ColdPolicy { over: 1.5, slack: 5.0, ..ColdPolicy::default() }
+}
+
 /// A third of the servers come back cold, and are chosen before the loaded ones.
 fn third_cold(gateways: usize) -> Load {
     let of = |servers: usize| (servers * gateways / 27).max(2);
-    Load { gateways, cold: of(16), warm: of(33), per_s: 14.0 * gateways as f64, burst_at: None }
-}
-
-fn worst(way: Way, belief: Belief, load: Load, seeds: u64) -> Played {
-    let plays = (0..seeds).map(|seed| play(way, belief, load, seed));
-    plays.fold(Played::default(), |a, b| Played {
-        most: a.most.max(b.most),
-        mean: a.mean + b.mean / seeds as f64,
-        least: a.least + b.least / seeds as f64,
-    })
+    Load {
+        gateways,
+        cold: of(16),
+        warm: of(33),
+        per_s: 14.0 * gateways as f64,
+        limit: LIMIT.per_s,
+        target_rate: |_, _| policy().rate(LIMIT),
+        duration: LIMIT.lasts,
+        window: Millis(1_000),
+        burst_at: None,
+    }
 }
 
 fn bears() -> usize {
@@ -70,7 +80,7 @@
         let calm = third_cold(gateways);
         let load = Load { per_s: calm.per_s * 1.5, ..calm };
         let played = worst(Way::Turns, Belief::Right, load, 3);
-        let rate = policy().rate(LIMIT);
+        let rate = policy().rate(LIMIT).per_second();
         assert!(
             played.mean >= 0.8 * rate * 0.8,
             "{gateways} gateways: {:.1} a second",
--- a/core/tests/cold_fleet/mod.rs
+++ b/core/tests/turn_fleet/mod.rs
@@ -1,19 +1,13 @@
-//! Gateways before cold backend servers, in virtual time, by the way in which they share what these bear.
+//! Simulation, in virtual time, of gateways that share the limited request rate of backend servers.
+
+#![allow(dead_code, reason = "each test file uses its part")]
 
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use redwingfold_core::{BackendId, ColdLimit, ColdPolicy, ColdTurns, Millis};
+use redwingfold_core::{BackendId, Millis, RequestRate, SendTurns};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// What a cold server bears.
-pub const LIMIT: ColdLimit = ColdLimit { lasts: Millis(3_000), per_s: 12.0 };
-
-/// How near all gateways come to it.
-pub fn policy() -> ColdPolicy {
-    ColdPolicy { over: 1.5, slack: 5.0, ..ColdPolicy::default() }
-}
-
 /// Longest time until a gateway has heard of a new server.
 const NEWS: u64 = 600;
 
@@ -70,6 +64,14 @@
     pub warm: usize,
     /// Requests a second, over all gateways.
     pub per_s: f64,
+    /// Limit of each cold server, in requests per second.
+    pub limit: f64,
+    /// Target rate of all gateways combined, given the limit and the fleet size that a gateway knows.
+    pub target_rate: fn(f64, usize) -> RequestRate,
+    /// Simulated time.
+    pub duration: Millis,
+    /// Sliding window over which requests are counted.
+    pub window: Millis,
     /// Time at which all callers press at once, with ten times as many requests for 0.1 s.
     pub burst_at: Option<u64>,
 }
@@ -77,7 +79,7 @@
 /// What came of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Played {
-    /// Most requests that a server got within a second.
+    /// Maximum number of requests that a server got within any window.
     pub most: usize,
     /// Requests a second that a cold server got on average.
     pub mean: f64,
@@ -91,7 +93,7 @@
     ids: Rc<[BackendId]>,
     up_at: u64,
     clock: i64,
-    turns: ColdTurns,
+    turns: SendTurns,
     /// Server; when this gateway last sent there, or saved up first.
     sent_at: HashMap<usize, f64>,
     hears_at: Vec<u64>,
@@ -109,8 +111,10 @@
         &self.knows[..=(others as f64 * part) as usize]
     }
 
-    fn may_send(&mut self, way: Way, server: usize, at: u64, belief: Belief) -> bool {
-        let rate = policy().rate(LIMIT);
+    fn may_send(&mut self, way: Way, server: usize, at: u64, belief: Belief, load: Load) -> bool {
+        let fleet = self.turns.fleet(Millis(at));
+        let target = (load.target_rate)(load.limit, fleet);
+        let rate = target.per_second();
         let (own, known) = (self.knows[0], self.known(at, belief).len());
         let since = at as f64 - self.sent_at.get(&server).copied().unwrap_or(f64::MIN);
         match way {
@@ -118,7 +122,7 @@
             Way::Turns => {
                 self.turns.saw_fleet(known, Millis(at));
                 let draw = xxh3_64_with_seed(&own.to_le_bytes(), at ^ ((server as u64) << 20));
-                self.turns.wait(&self.ids[server], LIMIT, Millis(at), draw) == Millis(0)
+                self.turns.wait(&self.ids[server], target, Millis(at), draw) == Millis(0)
             }
             Way::Saved => since >= known as f64 * 1000.0 / rate,
             Way::Owner => {
@@ -136,14 +140,15 @@
         }
     }
 
-    fn sent(&mut self, server: usize, at: u64) {
-        self.turns.sent(&self.ids[server], LIMIT, Millis(at));
+    fn sent(&mut self, server: usize, at: u64, load: Load) {
+        let rate = (load.target_rate)(load.limit, self.turns.fleet(Millis(at)));
+        self.turns.sent(&self.ids[server], rate, Millis(at));
         self.sent_at.insert(server, at as f64);
     }
 }
 
 /// Lets callers press on while servers are cold.
-pub fn play(way: Way, belief: Belief, load: Load, seed: u64) -> Played {
+fn play(way: Way, belief: Belief, load: Load, seed: u64) -> Played {
     let mut rng = fastrand::Rng::with_seed(seed);
     // Gateways that run have met long before the servers come.
     let began = if belief == Belief::Anew { 0 } else { 20_000 };
@@ -156,7 +161,7 @@
         gateway.turns.met(Millis(gateway.up_at));
     }
     let mut arrivals: Vec<Vec<u64>> = vec![Vec::new(); load.cold];
-    for at in began..began + LIMIT.lasts.0 {
+    for at in began..began + load.duration.0 {
         let in_burst = load.burst_at.is_some_and(|b| (b..b + 100).contains(&(at - began)));
         let per_ms = load.per_s / 1000.0 * if in_burst { 10.0 } else { 1.0 };
         let came = per_ms as u32 + u32::from(rng.f64() < per_ms.fract());
@@ -179,8 +184,8 @@
         }
     }
     let all: usize = arrivals.iter().map(Vec::len).sum();
-    let seconds = LIMIT.lasts.0 as f64 / 1000.0;
-    let most = arrivals.iter().map(|at| most_in_a_second(at)).max().unwrap_or(0);
+    let seconds = load.duration.0 as f64 / 1000.0;
+    let most = arrivals.iter().map(|at| most_within(at, load.window)).max().unwrap_or(0);
     let least = arrivals.iter().map(Vec::len).min().unwrap_or(0) as f64 / seconds;
     Played { most, mean: all as f64 / load.cold as f64 / seconds, least }
 }
@@ -206,7 +211,7 @@
             _ => 0,
         },
         clock: if belief == Belief::Clocks { rng.i64(-500..500) } else { 0 },
-        turns: ColdTurns::new(policy()),
+        turns: SendTurns::default(),
         sent_at: HashMap::new(),
         hears_at: ids.iter().map(|_| rng.u64(..news)).collect(),
         pending: 0,
@@ -232,14 +237,24 @@
     }
     let mut known: Vec<_> = (0..load.cold).filter(|s| heard(gateway, *s)).collect();
     rng.shuffle(&mut known);
-    let open = known.into_iter().find(|s| gateway.may_send(way, *s, at, belief))?;
-    gateway.sent(open, at);
+    let open = known.into_iter().find(|s| gateway.may_send(way, *s, at, belief, load))?;
+    gateway.sent(open, at, load);
     Some(open)
 }
 
-fn most_in_a_second(arrivals: &[u64]) -> usize {
+fn most_within(arrivals: &[u64], window: Millis) -> usize {
     let within = |(i, first): (usize, &u64)| {
-        arrivals[i..].iter().take_while(|at| **at < first + 1_000).count()
+        arrivals[i..].iter().take_while(|at| **at < first + window.0).count()
     };
     arrivals.iter().enumerate().map(within).max().unwrap_or(0)
 }
+
+/// Plays each seed; returns the highest `most`, and `mean` and `least` averaged over the seeds.
+pub fn worst(way: Way, belief: Belief, load: Load, seeds: u64) -> Played {
+    let plays = (0..seeds).map(|seed| play(way, belief, load, seed));
+    plays.fold(Played::default(), |a, b| Played {
+        most: a.most.max(b.most),
+        mean: a.mean + b.mean / seeds as f64,
+        least: a.least + b.least / seeds as f64,
+    })
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -107,9 +107,6 @@
         }
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
-        if gw.limit_of(server).is_some() {
-            gw.telemetry.count("limit.sent", 1);
-        }
         self.count_send(server);
         let reading = self.reading_time(self.size.unwrap_or(0));
         let expected = unread.after(reading).after(self.work(self.size).shared);
--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -10,15 +10,15 @@
 use crate::facts::ModelAsk;
 use crate::request::Flight;
 
-/// Part of the time left, as a divisor, for which a request waits while only cold servers are there: the rest is for its
-/// answer, or for a return.
-const COLD_WAIT_PART: u64 = 3;
+/// Divisor of the time left that bounds a request's wait while all servers are cold or limited; the rest is for its
+/// answer or for returning the request.
+const TURN_WAIT_PART: u64 = 3;
 
 /// What a look for a server found.
 pub(crate) enum Choice {
     /// This server, and the time that it will take for other prompts.
     Server(Box<BackendServer>, Millis),
-    /// Only cold servers, the first of which may get a request from here after this time.
+    /// All servers are cold or limited; this is the time until this gateway's next turn at one of them.
     Later(Millis),
 }
 
@@ -30,16 +30,17 @@
 }
 
 impl Flight {
-    /// Chooses a server for the model that is asked; where only cold ones are there, waits for a turn at one of them.
+    /// Chooses a server for the model that is asked; if all servers are cold or limited, waits for a turn at one of
+    /// them.
     pub(crate) async fn pick_in_turn(&mut self) -> Result<(BackendServer, Millis), Failed> {
-        let until = self.gw.now().after(Millis(self.left().0 / COLD_WAIT_PART));
+        let until = self.gw.now().after(Millis(self.left().0 / TURN_WAIT_PART));
         loop {
             let wait = match self.pick()? {
                 Choice::Server(server, unread) => return Ok((*server, unread)),
                 Choice::Later(wait) => wait,
             };
             if self.gw.now().after(wait) > until {
-                let why = format!("only cold servers of {} are left", self.service);
+                let why = format!("all servers of {} are cold or limited", self.service);
                 return Err(Failed { retry_after: Some(wait), ..self.overloaded(why) });
             }
             self.gw.telemetry.count("request.waited_for_cold", 1);
@@ -106,7 +107,7 @@
         }
     }
 
-    /// Tells servers that may have a request now from cold ones at which this gateway has no turn.
+    /// Separates servers that may get a request now from those at which this gateway must wait for its turn.
     fn split<'a>(
         &self,
         servers: Vec<&'a BackendServer>,
@@ -115,7 +116,7 @@
     ) -> Option<Pool<'a>> {
         let mut pool = Pool { now: Vec::new(), later: None };
         for server in servers {
-            match self.gw.cold_wait(server, registry, now) {
+            match self.gw.turn_wait(server, registry, now) {
                 Millis(0) => pool.now.push(server),
                 wait => pool.later = Some(pool.later.map_or(wait, |later| later.min(wait))),
             }
--- a/gateway/src/cold.rs
+++ b/gateway/src/cold.rs
@@ -5,34 +5,11 @@
 use crate::gateway::Gateway;
 
 impl Gateway {
-    /// Returns the time until this gateway may send to a server: none, unless it is cold.
-    pub(crate) fn cold_wait(
-        &self,
-        server: &BackendServer,
-        registry: &Registry,
-        now: Millis,
-    ) -> Millis {
-        match self.cold_limit(server, registry, now) {
-            None => Millis(0),
-            Some(limit) => {
-                self.cold_turns.borrow_mut().wait(&server.id, limit, now, fastrand::u64(..))
-            }
-        }
-    }
-
-    /// Notes a send to a server.
-    pub(crate) fn sends_to(&self, server: &BackendServer) {
-        let now = self.now();
-        let Some(limit) = self.with_registry(|r| self.cold_limit(server, r, now)) else { return };
-        self.telemetry.count("cold.sent", 1);
-        self.cold_turns.borrow_mut().sent(&server.id, limit, now);
-    }
-
     /// Returns what a server bears if it is cold.
     ///
     /// Servers of a domain that was emptied became cold as the order was taken back, or shortly before; their own records
     /// say so only with the next heartbeat.
-    fn cold_limit(
+    pub(crate) fn cold_limit(
         &self,
         server: &BackendServer,
         registry: &Registry,
@@ -55,16 +32,6 @@
         self.with_registry(|r| r.is_cold(&server.id, left, self.now()));
     }
 
-    /// Notes how many gateways know of each other, this one included.
-    pub(crate) fn saw_fleet(&self, fleet: usize) {
-        self.cold_turns.borrow_mut().saw_fleet(fleet, self.now());
-    }
-
-    /// Notes that the other gateways could be heard from now on, or that there are none.
-    pub(crate) fn met_others(&self) {
-        self.cold_turns.borrow_mut().met(self.now());
-    }
-
     /// Shows on the metrics page how many servers are cold.
     pub fn show_cold(&self) {
         let now = self.now();
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,8 +8,8 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    Catalog, ColdTurns, ConnectTimes, Evacuations, Leads, Millis, Pressure, Quarantine,
-    QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises,
+    Catalog, ConnectTimes, Evacuations, Leads, Millis, Pressure, Quarantine, QuarantinePolicy,
+    ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, SendTurns,
     ServerEnds, ServerLimits, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
@@ -85,7 +85,7 @@
     pub(crate) claims: RefCell<VecDeque<Claim>>,
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) regions: RefCell<Regions>,
-    pub(crate) cold_turns: RefCell<ColdTurns>,
+    pub(crate) send_turns: RefCell<SendTurns>,
     pub(crate) server_limits: RefCell<ServerLimits>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
@@ -135,7 +135,6 @@
         let hold = settings.quarantine.hold;
         let hold = hold.after(Millis(fastrand::u64(0..=hold.0 / 2)));
         let quarantine = Quarantine::new(QuarantinePolicy { hold, ..settings.quarantine });
-        let cold_turns = ColdTurns::new(settings.cold);
         Self {
             settings,
             dialect,
@@ -159,7 +158,7 @@
             claims: RefCell::default(),
             evacuations: RefCell::default(),
             regions: RefCell::default(),
-            cold_turns: RefCell::new(cold_turns),
+            send_turns: RefCell::default(),
             server_limits: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -37,6 +37,7 @@
 mod server_list;
 mod sessions;
 mod settings;
+mod turns;
 mod upstream;
 mod usual;
 
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -7,7 +7,7 @@
 
 use redwingfold_core::{
     BackendId, BackendServer, EndedRun, Fault, HealthPolicy, Incarnation, Millis, PeerLoads, Place,
-    ServerEnds, ServerHealth, ServerReport, Unreached,
+    RequestRate, ServerEnds, ServerHealth, ServerReport, Unreached,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -55,6 +55,16 @@
     pub(crate) unreached: HashSet<u32>,
     /// Servers that have answered, though somebody could not reach them.
     pub(crate) answered: HashSet<u32>,
+    /// Server limits, keyed by incarnation hash.
+    pub(crate) limits: HashMap<u64, LimitNews>,
+}
+
+/// The limit in a server's answer, as passed between gateways.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct LimitNews {
+    /// `None` if the server no longer reports a limit.
+    pub(crate) limit: Option<RequestRate>,
+    pub(crate) reported_at: Millis,
 }
 
 /// Who could not reach a server.
@@ -212,6 +222,14 @@
         tables.unreached.failed(short, Voice::Own, fleet, now, fastrand::u64(..))
     }
 
+    /// Queues a limit for the peers; drops it if the queue is full.
+    pub(crate) fn tell_limit(&self, server: u64, news: LimitNews) {
+        let limits = &mut self.0.borrow_mut().untold.limits;
+        if limits.len() < MAX_UNTOLD || limits.contains_key(&server) {
+            limits.insert(server, news);
+        }
+    }
+
     /// Takes what the peers have not been told yet.
     pub(crate) fn take_news(&self) -> LoadNews {
         std::mem::take(&mut self.0.borrow_mut().untold)
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -4,12 +4,12 @@
 
 use redwingfold_core::{
     BackendServer, Counts, FeedTold, Fingerprint, Incarnation, Mark, MarkChange, Millis,
-    ParseIdError, Phase, RouteEvidence, Sent, ServerReport, ServerState, Times,
+    ParseIdError, Phase, RequestRate, RouteEvidence, Sent, ServerReport, ServerState, Times,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::feeds::ServerChange;
-use crate::load::LoadNews;
+use crate::load::{LimitNews, LoadNews};
 use crate::rollout_news::{Recorded, RolloutNews};
 
 /// One gateway's message.
@@ -29,8 +29,14 @@
     pub(crate) rollouts: Vec<RolloutWire>,
     /// Where other gateways are.
     pub(crate) gateways: Vec<SocketAddr>,
+    pub(crate) limits: Vec<LimitWire>,
 }
 
+/// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
+/// milliseconds.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct LimitWire(u64, Option<f64>, u16);
+
 /// How far a feed was read: from, next, age in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct FeedWire(u64, u64, u32);
@@ -277,6 +283,18 @@
     }
 }
 
+impl LimitWire {
+    /// Returns the server's incarnation hash and limit, or `None` if the rate is invalid.
+    fn to_news(self, now: Millis) -> Option<(u64, LimitNews)> {
+        let Self(server, per_second, age) = self;
+        let limit = match per_second {
+            Some(per_second) => Some(RequestRate::new(per_second)?),
+            None => None,
+        };
+        Some((server, LimitNews { limit, reported_at: Millis(now.0.saturating_sub(age.into())) }))
+    }
+}
+
 impl PeerMessage {
     /// Says whether it tells nothing but that its sender lives.
     pub(crate) fn is_empty(&self) -> bool {
@@ -284,7 +302,7 @@
     }
 
     /// Adds what is told of loads.
-    pub(crate) fn add_loads(&mut self, news: LoadNews) {
+    pub(crate) fn add_loads(&mut self, news: LoadNews, now: Millis) {
         let short = |n: u64| n.min(u64::from(u16::MAX)) as u16;
         self.sent = news.sent.into_iter().map(|(server, takes)| (server, short(takes.0))).collect();
         let report = |(server, r): (u32, ServerReport)| {
@@ -293,12 +311,18 @@
         self.reports = news.reports.into_iter().map(report).collect();
         self.unreached = news.unreached.into_iter().collect();
         self.answered = news.answered.into_iter().collect();
+        let limit = |(server, news): (u64, LimitNews)| {
+            let age = short(now.since(news.reported_at).0);
+            LimitWire(server, news.limit.map(RequestRate::per_second), age)
+        };
+        self.limits = news.limits.into_iter().map(limit).collect();
     }
 
     /// Takes out what is told of loads.
-    pub(crate) fn take_loads(&mut self) -> LoadNews {
+    pub(crate) fn take_loads(&mut self, now: Millis) -> LoadNews {
         let sent = std::mem::take(&mut self.sent);
         let reports = std::mem::take(&mut self.reports);
+        let limits = std::mem::take(&mut self.limits);
         let report = |(server, running, waiting): (u32, u16, u16)| {
             (server, ServerReport { running: running.into(), waiting: waiting.into() })
         };
@@ -307,6 +331,7 @@
             reports: reports.into_iter().map(report).collect(),
             unreached: std::mem::take(&mut self.unreached).into_iter().collect(),
             answered: std::mem::take(&mut self.answered).into_iter().collect(),
+            limits: limits.into_iter().filter_map(|limit| limit.to_news(now)).collect(),
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -150,7 +150,7 @@
             self.tell_all_others(&present, one, KEPT_FOR_FEEDS).await;
         }
         let mut loads = PeerMessage::default();
-        loads.add_loads(self.gw.loads.take_news());
+        loads.add_loads(self.gw.loads.take_news(), self.gw.now());
         if !loads.is_empty() || self.gw.now().since(self.told_at) >= QUIET {
             self.tell(loads, &present, KEPT_FOR_FEEDS).await;
         }
@@ -255,7 +255,11 @@
 fn take(gw: &Gateway, from: SocketAddr, mut message: PeerMessage) {
     let now = gw.now();
     let fleet = gw.with_feeds(|feeds| feeds.fleet());
-    for server in gw.loads.hear(from, message.take_loads(), fleet, now) {
+    let news = message.take_loads(now);
+    for (server, limit) in &news.limits {
+        gw.hear_limit(from, *server, *limit);
+    }
+    for server in gw.loads.hear(from, news, fleet, now) {
         gw.left_out_unreached(server, Some(from));
     }
     if let Some(orders) = message.orders {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,7 +1,7 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, ColdPolicy, HealthPolicy, Millis, PlacementPolicy, QuarantinePolicy,
+    CanaryPolicy, ColdPolicy, HealthPolicy, LimitPolicy, Millis, PlacementPolicy, QuarantinePolicy,
     SilencePolicy, SizePolicy, UrgencyPolicy,
 };
 
@@ -44,6 +44,8 @@
     pub urgency: UrgencyPolicy,
     /// How much cold servers get.
     pub cold: ColdPolicy,
+    /// Bounds on requests to servers that report a limit.
+    pub limits: LimitPolicy,
     /// How often the store's feeds are read.
     pub feeds: FeedPeriods,
     /// Bytes of the operator's newest records that are taken from another gateway.
@@ -79,6 +81,7 @@
             sizes: SizePolicy::default(),
             urgency: UrgencyPolicy::default(),
             cold: ColdPolicy::default(),
+            limits: LimitPolicy::default(),
             feeds: FeedPeriods::default(),
             max_orders: 16 * 1024 * 1024,
         }
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -122,17 +122,17 @@
     bears: usize,
 }
 
-/// A limit that an engine names.
+/// A rate limit that an engine reports.
 #[derive(Clone, Copy, Debug)]
-struct Limit {
+struct ReportedLimit {
     per_second: f64,
     since: Instant,
 }
 
-/// Time after an engine first named a limit from which all gateways must keep to it.
-const LIMIT_KNOWN: Duration = Duration::from_secs(3);
+/// Time within which all gateways must comply with a newly set limit.
+const LIMIT_GRACE_PERIOD: Duration = Duration::from_secs(3);
 
-/// Span over which the requests that a limited engine gets are counted.
+/// Sliding window over which the requests to a limited engine are counted.
 const LIMIT_WINDOW: Duration = Duration::from_secs(4);
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -150,7 +150,7 @@
     running: Arc<AtomicUsize>,
     plan: Arc<Mutex<Arc<Planner>>>,
     cold: Arc<Mutex<Option<Cold>>>,
-    limit: Arc<Mutex<Option<Limit>>>,
+    limit: Arc<Mutex<Option<ReportedLimit>>>,
     sockets: Arc<Sockets>,
 }
 
@@ -279,17 +279,18 @@
         *self.cold.lock().unwrap_or_else(PoisonError::into_inner) = Some(cold);
     }
 
-    /// Names a limit in its answers from now on, or none.
-    pub fn name_limit(&self, per_second: Option<f64>) {
-        let limit = per_second.map(|per_second| Limit { per_second, since: Instant::now() });
+    /// Sets or clears the limit that it reports in its answers.
+    pub fn set_limit(&self, per_second: Option<f64>) {
+        let limit =
+            per_second.map(|per_second| ReportedLimit { per_second, since: Instant::now() });
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner) = limit;
     }
 
-    fn limit(&self) -> Option<Limit> {
+    fn limit(&self) -> Option<ReportedLimit> {
         *self.limit.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the requests for it that arrived since it named its limit, as times from then on.
+    /// Returns the arrival times of requests for it since its limit was set, relative to that time.
     pub fn arrivals_under_limit(&self) -> Vec<Duration> {
         let Some(limit) = self.limit() else { return Vec::new() };
         let is_meant =
@@ -299,12 +300,15 @@
         meant.map(|a| a.at - limit.since).collect()
     }
 
-    /// Returns the most requests that it got within any four seconds under its limit, once all gateways must know it, and
-    /// the most that its limit allows.
+    /// Returns the maximum number of requests that it got within any window after the grace period of its limit, and
+    /// the maximum that the limit allows.
     pub fn most_under_limit(&self) -> (usize, usize) {
         let Some(limit) = self.limit() else { return (0, 0) };
-        let arrivals: Vec<_> =
-            self.arrivals_under_limit().into_iter().filter(|at| *at >= LIMIT_KNOWN).collect();
+        let arrivals: Vec<_> = self
+            .arrivals_under_limit()
+            .into_iter()
+            .filter(|at| *at >= LIMIT_GRACE_PERIOD)
+            .collect();
         let within = |first: &Duration| {
             arrivals.iter().filter(|at| *at >= first && **at < *first + LIMIT_WINDOW).count()
         };
