fix(gateway): refuse requests immediately if no turn comes in time

Impact: callers waited for up to a third of their remaining time before being refused.

Cause: if all servers are cold or limited, each request considered only the next turn. Of 60 concurrent requests, all waited for the same turn, one got it, and the others went on to wait for the next.

Change: waiting requests are counted per service. If the requests already waiting need the turns that come within a new request's maximum wait, the new request fails immediately with the time until its turn would come.

--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -1,7 +1,8 @@
 //! Which backend server gets a request, among those that may have it.
 
 use redwingfold_core::{
-    Arm, BackendServer, ErrorKind, FailureDomain, Millis, Place, Registry, ServerState, place,
+    Arm, BackendServer, ErrorKind, FailureDomain, Millis, Place, Registry, RequestRate,
+    ServerState, place,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -18,33 +19,62 @@
 pub(crate) enum Choice {
     /// This server, and the time that it will take for other prompts.
     Server(Box<BackendServer>, Millis),
-    /// All servers are cold or limited; this is the time until this gateway's next turn at one of them.
-    Later(Millis),
+    /// All servers are cold or limited.
+    Later(UpcomingTurns),
+}
+
+/// This gateway's next turns at one or more cold or limited servers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct UpcomingTurns {
+    /// Time until the first turn.
+    pub(crate) wait: Millis,
+    /// Rate of turns at all of these servers combined.
+    pub(crate) rate: RequestRate,
+}
+
+impl UpcomingTurns {
+    /// Returns the turns at the servers of both.
+    fn combine(self, other: Self) -> Self {
+        let rate = self.rate.per_second() + other.rate.per_second();
+        Self { wait: self.wait.min(other.wait), rate: RequestRate::new(rate).unwrap_or(self.rate) }
+    }
+
+    /// Returns the time until the turn of a request that has `ahead` others before it.
+    fn wait_behind(self, ahead: usize) -> Millis {
+        let interval_ms = 1000.0 / self.rate.per_second().max(f64::MIN_POSITIVE);
+        self.wait.after(Millis((ahead as f64 * interval_ms) as u64))
+    }
 }
 
 /// Servers that may have a request, the first those that may have it now.
 struct Pool<'a> {
     now: Vec<&'a BackendServer>,
-    /// Time until one of the others may.
-    later: Option<Millis>,
+    /// Turns at the other servers.
+    later: Option<UpcomingTurns>,
 }
 
 impl Flight {
     /// Chooses a server for the model that is asked; if all servers are cold or limited, waits for a turn at one of
-    /// them.
+    /// them. Fails immediately if its turn, after those of the requests already waiting, would come too late.
     pub(crate) async fn pick_in_turn(&mut self) -> Result<(BackendServer, Millis), Failed> {
         let until = self.gw.now().after(Millis(self.left().0 / TURN_WAIT_PART));
+        let mut waiter = None;
         loop {
-            let wait = match self.pick()? {
+            let turns = match self.pick()? {
                 Choice::Server(server, unread) => return Ok((*server, unread)),
-                Choice::Later(wait) => wait,
+                Choice::Later(turns) => turns,
+            };
+            let wait = match &waiter {
+                None => turns.wait_behind(self.gw.turn_waiters.count(&self.service)),
+                Some(_) => turns.wait,
             };
             if self.gw.now().after(wait) > until {
                 let why = format!("all servers of {} are cold or limited", self.service);
                 return Err(Failed { retry_after: Some(wait), ..self.overloaded(why) });
             }
+            waiter.get_or_insert_with(|| self.gw.turn_waiters.add(&self.service));
             self.gw.telemetry.count("request.waited_for_cold", 1);
-            sleep(wait).await;
+            sleep(turns.wait).await;
         }
     }
 
@@ -116,9 +146,12 @@
     ) -> Option<Pool<'a>> {
         let mut pool = Pool { now: Vec::new(), later: None };
         for server in servers {
-            match self.gw.turn_wait(server, registry, now) {
-                Millis(0) => pool.now.push(server),
-                wait => pool.later = Some(pool.later.map_or(wait, |later| later.min(wait))),
+            match self.gw.upcoming_turns(server, registry, now) {
+                None => pool.now.push(server),
+                Some(turns) if turns.wait == Millis(0) => pool.now.push(server),
+                Some(turns) => {
+                    pool.later = Some(pool.later.map_or(turns, |later| later.combine(turns)))
+                }
             }
         }
         (!pool.now.is_empty() || pool.later.is_some()).then_some(pool)
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -23,6 +23,7 @@
 use crate::quarantine::Claim;
 use crate::rollouts::Rollouts;
 use crate::settings::GatewaySettings;
+use crate::turns::TurnWaiters;
 
 /// Time after its start for which a gateway's requests wait for what is known of those under which servers ended.
 const MARKS_PATIENCE: Millis = Millis(1_000);
@@ -86,6 +87,7 @@
     pub(crate) evacuations: RefCell<Evacuations>,
     pub(crate) regions: RefCell<Regions>,
     pub(crate) send_turns: RefCell<SendTurns>,
+    pub(crate) turn_waiters: TurnWaiters,
     pub(crate) server_limits: RefCell<ServerLimits>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
@@ -159,6 +161,7 @@
             evacuations: RefCell::default(),
             regions: RefCell::default(),
             send_turns: RefCell::default(),
+            turn_waiters: TurnWaiters::default(),
             server_limits: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -1,23 +1,63 @@
 //! This gateway's turns at backend servers that accept a limited request rate from all gateways combined.
 
-use redwingfold_core::{BackendServer, Millis, Registry, RequestRate};
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 
+use redwingfold_core::{BackendServer, Millis, Registry, RequestRate, ServiceName};
+
+use crate::choice::UpcomingTurns;
 use crate::gateway::Gateway;
 
+/// Number of requests waiting for a turn, by service.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct TurnWaiters(Rc<RefCell<HashMap<ServiceName, usize>>>);
+
+/// A request waiting for a turn, counted until dropped.
+#[derive(Debug)]
+pub(crate) struct TurnWaiter {
+    waiters: TurnWaiters,
+    service: ServiceName,
+}
+
+impl TurnWaiters {
+    /// Returns the number of requests for a service that are waiting.
+    pub(crate) fn count(&self, service: &ServiceName) -> usize {
+        self.0.borrow().get(service).copied().unwrap_or(0)
+    }
+
+    /// Counts a request for a service as waiting until the returned guard is dropped.
+    pub(crate) fn add(&self, service: &ServiceName) -> TurnWaiter {
+        *self.0.borrow_mut().entry(service.clone()).or_default() += 1;
+        TurnWaiter { waiters: self.clone(), service: service.clone() }
+    }
+}
+
+impl Drop for TurnWaiter {
+    fn drop(&mut self) {
+        let mut counts = self.waiters.0.borrow_mut();
+        match counts.get_mut(&self.service) {
+            Some(n) if *n > 1 => *n -= 1,
+            _ => {
+                counts.remove(&self.service);
+            }
+        }
+    }
+}
+
 impl Gateway {
-    /// Returns the time until this gateway may send to a server; zero unless the server is cold or limited.
-    pub(crate) fn turn_wait(
+    /// Returns this gateway's next turns at a server; `None` unless the server is cold or limited.
+    pub(crate) fn upcoming_turns(
         &self,
         server: &BackendServer,
         registry: &Registry,
         now: Millis,
-    ) -> Millis {
-        match self.shared_rate(server, registry, now) {
-            None => Millis(0),
-            Some(rate) => {
-                self.send_turns.borrow_mut().wait(&server.id, rate, now, fastrand::u64(..))
-            }
-        }
+    ) -> Option<UpcomingTurns> {
+        let rate = self.shared_rate(server, registry, now)?;
+        let mut turns = self.send_turns.borrow_mut();
+        let wait = turns.wait(&server.id, rate, now, fastrand::u64(..));
+        let own_rate = RequestRate::new(rate.per_second() / turns.fleet(now) as f64);
+        Some(UpcomingTurns { wait, rate: own_rate.unwrap_or_default() })
     }
 
     /// Notes a send to a server.
