feat(gateway): log and count servers that are leaving or send Retry-After

Cause: a server that is leaving announces it in its answers, and a server that refuses a request with 503 may state for how long this gateway should send it no requests. Neither was logged, so three hypotheses on why such servers continue to receive requests could not be distinguished: the answers are not read, some kinds of sends bypass the point where the announcements apply, or a later record from the store overrides them.

Server selection does not use either yet.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -107,6 +107,7 @@
         }
         let req = self.attempt_request(server, left, resume_after);
         let sent_at = gw.now();
+        gw.count_send_to_unavailable(server);
         self.count_send(server);
         let reading = self.reading_time(self.size.unwrap_or(0));
         let expected = unread.after(reading).after(self.work(self.size).shared);
@@ -138,9 +139,13 @@
             gw.loads.reported(server, load, now);
         }
         let refusal = self.refusal(&head, &facts);
-        // Invalid answers and answers from another server must not change the recorded limit.
+        // Invalid answers and answers from another server must not change what is recorded of this server.
         if matches!(refusal, None | Some(Attempted::NotRun(_))) {
             gw.record_limit(server, facts.rate_limit);
+            if facts.is_leaving {
+                gw.record_leaving(server);
+            }
+            facts.retry_after.iter().for_each(|delay| gw.record_retry_after(server, *delay));
         }
         if let Some(attempted) = refusal {
             if !matches!(attempted, Attempted::Lost(_)) {
--- a/gateway/src/facts.rs
+++ b/gateway/src/facts.rs
@@ -108,6 +108,10 @@
     pub cold_left: Option<Millis>,
     /// Requests per second that the server accepts from all gateways combined, if limited.
     pub rate_limit: Option<RequestRate>,
+    /// Whether the server announces that it is leaving.
+    pub is_leaving: bool,
+    /// How long the server asks this gateway to send no requests, if it refused this one and says so.
+    pub retry_after: Option<Millis>,
     /// The model's opinion of its answer, 0 to 100.
     pub confidence: Option<u8>,
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,9 +8,9 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    Catalog, ConnectTimes, Evacuations, Leads, Millis, Pressure, Quarantine, QuarantinePolicy,
-    ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse, Rises, SendTurns,
-    ServerEnds, ServerLimits, ServiceName, StreamTimes,
+    Catalog, ConnectTimes, Evacuations, Leads, LeavingServers, Millis, Pressure, Quarantine,
+    QuarantinePolicy, ReadRates, Regions, Registry, RegistryPolicy, RepeatBudget, RepeatUse,
+    RetryAfterTimes, Rises, SendTurns, ServerEnds, ServerLimits, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -89,6 +89,8 @@
     pub(crate) send_turns: RefCell<SendTurns>,
     pub(crate) turn_waiters: TurnWaiters,
     pub(crate) server_limits: RefCell<ServerLimits>,
+    pub(crate) leaving: RefCell<LeavingServers>,
+    pub(crate) retry_after: RefCell<RetryAfterTimes>,
     /// Marks of requests are to be written, or a trial is asked for.
     pub(crate) marks_moved: Event,
     /// When the store came back from an older copy.
@@ -163,6 +165,8 @@
             send_turns: RefCell::default(),
             turn_waiters: TurnWaiters::default(),
             server_limits: RefCell::default(),
+            leaving: RefCell::default(),
+            retry_after: RefCell::default(),
             marks_moved: Event::new(),
             restored_at: Cell::default(),
             orders_trouble: RefCell::default(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod answer;
 mod attempt;
+mod availability;
 mod choice;
 mod clock;
 mod cold;
