--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -151,6 +151,7 @@
     plan: Arc<Mutex<Arc<Planner>>>,
     cold: Arc<Mutex<Option<Cold>>>,
     limit: Arc<Mutex<Option<ReportedLimit>>>,
+    is_leaving: Arc<AtomicBool>,
     sockets: Arc<Sockets>,
 }
 
@@ -239,6 +240,7 @@
             plan,
             cold: Arc::default(),
             limit: Arc::default(),
+            is_leaving: Arc::default(),
             sockets: Arc::new(sockets),
         };
         let serving = engine.clone();
@@ -316,6 +318,11 @@
         (arrivals.iter().map(within).max().unwrap_or(0), allowed as usize)
     }
 
+    /// Announces in its answers from now on that it is leaving.
+    pub fn leave(&self) {
+        self.is_leaving.store(true, Ordering::SeqCst);
+    }
+
     fn cold(&self) -> Option<Cold> {
         let cold = *self.cold.lock().unwrap_or_else(PoisonError::into_inner);
         cold.filter(|cold| cold.until > Instant::now())
@@ -438,9 +445,11 @@
         let limit = self
             .limit()
             .map_or_else(String::new, |limit| format!("Server-Limit: {}\r\n", limit.per_second));
+        let is_leaving = self.is_leaving.load(Ordering::SeqCst);
+        let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
         format!(
             "HTTP/1.1 {status} Any\r\nAttempt-Id: {}\r\nResponse-Stamp: by-{}\r\n\
-             Instance-Load: {running},0,8\r\n{cold}{limit}{more}",
+             Instance-Load: {running},0,8\r\n{cold}{limit}{leaving}{more}",
             arrival.id(),
             self.spec.id,
         )
