fix: stop sending to servers that announce in answers that they are leaving

Requests reached a server 4.3 and 4.5 s after a gateway had passed on an answer that announced that the server is leaving; 2 s are allowed. Callers saw no effect, or retries.

Cause: only the server's record in the store was taken into account. The store was unavailable for 13 s, so the record arrived too late. Class: state that a server reports only in its answers, and that no code reads. Ruled out: a later store record that reverts the state, as none arrived in the meantime; sends that bypass server selection, as all kinds of requests reached the server.

Change: a server that has announced to this gateway or to a peer that it is leaving is no longer selected (gateway/src/choice.rs), on any path, even if no other server is left: the request is then refused immediately, with a time to retry. No store record cancels the announcement; only a restart of the server does. Peers are notified once a second for five seconds, because no further answers from the server will follow. A gateway that starts while the store is unavailable receives the server as draining in the server list of another gateway.

--- a/gateway/src/availability.rs
+++ b/gateway/src/availability.rs
@@ -1,19 +1,49 @@
 //! Backend servers that announce in answers that they are leaving, or request a delay with `Retry-After`.
 
+use std::net::SocketAddr;
+
 use redwingfold_core::{BackendServer, Millis};
 
 use crate::gateway::Gateway;
 use crate::limits::incarnation_hash;
 
 impl Gateway {
-    /// Records that a server announced in an answer that it is leaving.
+    /// Records that a server announced in an answer that it is leaving, and queues this for the peers.
     pub(crate) fn record_leaving(&self, server: &BackendServer) {
-        if self.leaving.borrow_mut().record(incarnation_hash(server), self.now()) {
-            self.telemetry
-                .info("server_leaving", &[("server", &server.id), ("service", &server.service)]);
+        let hash = incarnation_hash(server);
+        if self.insert_leaving(hash) {
+            self.loads.tell_leaving(hash, self.now());
+            self.log_leaving(server, "self".to_owned());
         }
     }
 
+    /// Records that a server announced in an answer to a peer that it is leaving.
+    pub(crate) fn hear_leaving(&self, from: SocketAddr, hash: u64) {
+        if !self.insert_leaving(hash) {
+            return;
+        }
+        let registry = self.registry.borrow();
+        let found = registry.servers(self.now()).find(|s| incarnation_hash(s) == hash);
+        found.iter().for_each(|server| self.log_leaving(server, from.to_string()));
+    }
+
+    /// Adds a server to those that are leaving and returns whether it is new among them.
+    fn insert_leaving(&self, hash: u64) -> bool {
+        let is_new = self.leaving.borrow_mut().record(hash, self.now());
+        if is_new {
+            // The list cached for other gateways may still contain the server as ready.
+            self.servers_written.take();
+        }
+        is_new
+    }
+
+    fn log_leaving(&self, server: &BackendServer, told_by: String) {
+        self.telemetry.info(
+            "server_leaving",
+            &[("server", &server.id), ("service", &server.service), ("told_by", &told_by)],
+        );
+    }
+
     /// Records the delay that a server requested when it refused a request.
     pub(crate) fn record_retry_after(&self, server: &BackendServer, delay: Millis) {
         if self.retry_after.borrow_mut().record(incarnation_hash(server), delay, self.now()) {
--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -182,6 +182,7 @@
         let fits = |s: &&BackendServer| {
             s.service == self.service
                 && s.state == ServerState::Ready
+                && !self.gw.is_leaving(s)
                 && !evacuations.is_emptied(&s.domain)
                 && may_run_in(&s.domain)
                 && !self.avoid.contains(&s.id)
--- a/gateway/src/exchange/page.rs
+++ b/gateway/src/exchange/page.rs
@@ -66,7 +66,9 @@
     let bytes = match kept.as_ref().and_then(|written| written.of(known)) {
         Some(bytes) => bytes,
         None => {
-            let list = gw.with_registry(|registry| List::new(known, registry, now));
+            let list = gw.with_registry(|registry| {
+                List::new(known, registry, |server| gw.is_leaving(server), now)
+            });
             kept.insert(list.write()?).of(known)?
         }
     };
--- a/gateway/src/exchange/servers.rs
+++ b/gateway/src/exchange/servers.rs
@@ -1,7 +1,7 @@
 //! The list of backend servers, as one gateway gives it to another.
 
 use bytes::Bytes;
-use redwingfold_core::{BackendId, BackendServer, Millis, Registry};
+use redwingfold_core::{BackendId, BackendServer, Millis, Registry, ServerState};
 use serde::{Deserialize, Serialize};
 
 use super::delta;
@@ -46,12 +46,23 @@
 }
 
 impl List {
-    pub(super) fn new(next: u64, registry: &Registry, now: Millis) -> Self {
+    /// Lists the servers in a registry.
+    ///
+    /// Servers that are leaving are listed as draining, as the reader may have missed the announcement.
+    pub(super) fn new(
+        next: u64,
+        registry: &Registry,
+        is_leaving: impl Fn(&BackendServer) -> bool,
+        now: Millis,
+    ) -> Self {
         let servers = registry.servers(now).map(|server| {
             let cold_left = registry.cold_left(&server.id, now);
-            match cold_left {
-                Millis(0) => ServerWire::from(server),
-                _ => ServerWire::from(&BackendServer { cold_left, ..server.clone() }),
+            match (cold_left, is_leaving(server)) {
+                (Millis(0), false) => ServerWire::from(server),
+                (cold_left, is_leaving) => {
+                    let state = if is_leaving { ServerState::Draining } else { server.state };
+                    ServerWire::from(&BackendServer { cold_left, state, ..server.clone() })
+                }
             }
         });
         let servers = servers.collect();
--- a/gateway/src/exchange/tests.rs
+++ b/gateway/src/exchange/tests.rs
@@ -155,7 +155,7 @@
         read.put(server(id), Millis(0));
     });
     read.remove(&"left".into(), Millis(100));
-    let list = List::new(7, &read, Millis(200)).write().unwrap().of(7).unwrap();
+    let list = List::new(7, &read, |_| false, Millis(200)).write().unwrap().of(7).unwrap();
     let Heard { servers, lapsing } = List::read(&list, MAX).unwrap().servers().unwrap();
     let mut heard = Registry::default();
     heard.replace(servers, Millis(300));
@@ -164,3 +164,22 @@
     let later: Vec<_> = heard.servers(Millis(2_100)).map(|s| s.id.as_str()).collect();
     assert_eq!(later, ["stays"]);
 }
+
+/// Guards against a gateway that starts during a store outage and learns of a leaving server as ready from another one.
+#[test]
+fn leaving_server_is_passed_on_as_draining() {
+    let mut read = Registry::default();
+    ["leaves", "stays"].iter().for_each(|id| {
+        read.put(server(id), Millis(0));
+    });
+    let is_leaving = |server: &BackendServer| server.id.as_str() == "leaves";
+    let list = List::new(7, &read, is_leaving, Millis(0)).write().unwrap().of(7).unwrap();
+    let Heard { servers, .. } = List::read(&list, MAX).unwrap().servers().unwrap();
+    let mut heard = Registry::default();
+    heard.replace(servers, Millis(0));
+    // A stale record from the store arrives later.
+    heard.put(server("leaves"), Millis(100));
+    let state = |id: &str| heard.get(&id.into()).map(|server| server.state);
+    assert_eq!(state("leaves"), Some(ServerState::Draining));
+    assert_eq!(state("stays"), Some(ServerState::Ready));
+}
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -42,8 +42,23 @@
     unreached: Unreached<Voice>,
     /// What the peers have not been told yet.
     untold: LoadNews,
+    /// Pending notices to the peers about leaving servers, keyed by incarnation hash.
+    leaving_notices: HashMap<u64, NoticeSchedule>,
 }
 
+/// When to send the peers a notice, and when to stop repeating it.
+#[derive(Clone, Copy, Debug)]
+struct NoticeSchedule {
+    next_at: Millis,
+    until: Millis,
+}
+
+/// Time for which notices about a leaving server are repeated.
+const LEAVING_NOTICE_DURATION: Millis = Millis(5_000);
+
+/// Time between two notices about the same leaving server.
+const LEAVING_NOTICE_INTERVAL: Millis = Millis(1_000);
+
 /// What one gateway tells the others of servers' loads.
 #[derive(Debug, Default)]
 pub(crate) struct LoadNews {
@@ -57,6 +72,8 @@
     pub(crate) answered: HashSet<u32>,
     /// Server limits, keyed by incarnation hash.
     pub(crate) limits: HashMap<u64, LimitNews>,
+    /// Incarnation hashes of servers that have announced that they are leaving.
+    pub(crate) leaving: HashSet<u64>,
 }
 
 /// The limit in a server's answer, as passed between gateways.
@@ -230,9 +247,26 @@
         }
     }
 
+    /// Queues notices to the peers that a server is leaving; drops them if the queue is full.
+    ///
+    /// They are repeated because a message may be lost, and no further answer from the server triggers another one.
+    pub(crate) fn tell_leaving(&self, server: u64, now: Millis) {
+        let notices = &mut self.0.borrow_mut().leaving_notices;
+        if notices.len() < MAX_UNTOLD {
+            let (next_at, until) = (now, now.after(LEAVING_NOTICE_DURATION));
+            notices.entry(server).or_insert(NoticeSchedule { next_at, until });
+        }
+    }
+
     /// Takes what the peers have not been told yet.
-    pub(crate) fn take_news(&self) -> LoadNews {
-        std::mem::take(&mut self.0.borrow_mut().untold)
+    pub(crate) fn take_news(&self, now: Millis) -> LoadNews {
+        let Tables { untold, leaving_notices, .. } = &mut *self.0.borrow_mut();
+        for (server, schedule) in leaving_notices.iter_mut().filter(|(_, s)| s.next_at <= now) {
+            untold.leaving.insert(*server);
+            schedule.next_at = now.after(LEAVING_NOTICE_INTERVAL);
+        }
+        leaving_notices.retain(|_, schedule| now < schedule.until);
+        std::mem::take(untold)
     }
 
     /// Notes that bytes came from a server.
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -30,6 +30,8 @@
     /// Where other gateways are.
     pub(crate) gateways: Vec<SocketAddr>,
     pub(crate) limits: Vec<LimitWire>,
+    /// Incarnation hashes of servers that are leaving.
+    pub(crate) leaving: Vec<u64>,
 }
 
 /// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
@@ -316,6 +318,7 @@
             LimitWire(server, news.limit.map(RequestRate::per_second), age)
         };
         self.limits = news.limits.into_iter().map(limit).collect();
+        self.leaving = news.leaving.into_iter().collect();
     }
 
     /// Takes out what is told of loads.
@@ -332,6 +335,7 @@
             unreached: std::mem::take(&mut self.unreached).into_iter().collect(),
             answered: std::mem::take(&mut self.answered).into_iter().collect(),
             limits: limits.into_iter().filter_map(|limit| limit.to_news(now)).collect(),
+            leaving: std::mem::take(&mut self.leaving).into_iter().collect(),
         }
     }
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -150,7 +150,7 @@
             self.tell_all_others(&present, one, KEPT_FOR_FEEDS).await;
         }
         let mut loads = PeerMessage::default();
-        loads.add_loads(self.gw.loads.take_news(), self.gw.now());
+        loads.add_loads(self.gw.loads.take_news(self.gw.now()), self.gw.now());
         if !loads.is_empty() || self.gw.now().since(self.told_at) >= QUIET {
             self.tell(loads, &present, KEPT_FOR_FEEDS).await;
         }
@@ -259,6 +259,7 @@
     for (server, limit) in &news.limits {
         gw.hear_limit(from, *server, *limit);
     }
+    news.leaving.iter().for_each(|server| gw.hear_leaving(from, *server));
     for server in gw.loads.hear(from, news, fleet, now) {
         gw.left_out_unreached(server, Some(from));
     }
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -320,8 +320,8 @@
         (arrivals.iter().map(within).max().unwrap_or(0), allowed as usize)
     }
 
-    /// Announces in its answers from now on that it is leaving.
-    pub fn leave(&self) {
+    /// Announces in all answers from now on that it is leaving.
+    pub fn announce_leaving(&self) {
         self.is_leaving.store(true, Ordering::SeqCst);
     }
 
