fix: stop sending to servers during the delay in their Retry-After

Callers were refused, up to 11 of 15 in a second, while three servers of twelve refused nearly everything and the others had capacity.

Cause: a refusal excluded the server for that one request only. A server that refuses everything runs nothing, so it appears idle and is selected first by each new request: 29 and 6 requests from one gateway within the 3 s for which a server had asked for none, where two are allowed. Class: state that a server reports only in its answers, as for servers that announce that they are leaving. Peers are not notified, because the delay applies only to the gateway that was refused.

Change: server selection, the single point at which a server is chosen, excludes such a server until its delay has ended. If this applies to all servers of a service, a request is refused immediately, with the shortest remaining delay plus up to a quarter of it as Retry-After, so that callers do not all retry at once. A quarantined request does not use up a trial in this case; it is refused with the shortest remaining delay.

--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -15,12 +15,17 @@
 /// answer or for returning the request.
 const TURN_WAIT_PART: u64 = 3;
 
+/// Divisor of the remaining delay that bounds the random time added to it in `Retry-After`.
+const RETRY_SPREAD_PART: u64 = 4;
+
 /// What a look for a server found.
 pub(crate) enum Choice {
     /// This server, and the time that it will take for other prompts.
     Server(Box<BackendServer>, Millis),
     /// All servers are cold or limited.
     Later(UpcomingTurns),
+    /// All servers have requested a delay with `Retry-After`; this is the shortest remaining one.
+    RetryAfter(Millis),
 }
 
 /// This gateway's next turns at one or more cold or limited servers.
@@ -51,6 +56,8 @@
     now: Vec<&'a BackendServer>,
     /// Turns at the other servers.
     later: Option<UpcomingTurns>,
+    /// Shortest remaining delay of the servers that requested one with `Retry-After`.
+    retry_after: Option<Millis>,
 }
 
 impl Flight {
@@ -63,6 +70,7 @@
             let turns = match self.pick()? {
                 Choice::Server(server, unread) => return Ok((*server, unread)),
                 Choice::Later(turns) => turns,
+                Choice::RetryAfter(left) => return Err(self.all_delayed(left)),
             };
             let wait = match &waiter {
                 None => turns.wait_behind(self.gw.turn_waiters.count(&self.service)),
@@ -78,6 +86,14 @@
         }
     }
 
+    /// Returns the error for a request when all servers have requested a delay. A random part of the delay is added to
+    /// its `Retry-After`, so that callers do not all retry at once.
+    fn all_delayed(&self, left: Millis) -> Failed {
+        let why = format!("all servers of {} want no requests for {left} ms", self.service);
+        let spread = Millis(fastrand::u64(..=left.0 / RETRY_SPREAD_PART));
+        Failed { retry_after: Some(left.after(spread)), ..self.overloaded(why) }
+    }
+
     /// Chooses a server for the model that is asked.
     pub(crate) fn pick(&self) -> Result<Choice, Failed> {
         self.gw
@@ -89,7 +105,7 @@
         let now = self.gw.now();
         let pool = self.pool(servers, registry, now)?;
         if pool.now.is_empty() {
-            return pool.later.map(Choice::Later);
+            return pool.later.map(Choice::Later).or(pool.retry_after.map(Choice::RetryAfter));
         }
         let loads = &self.gw.loads;
         let mut places: Vec<Place> = pool.now.iter().map(|s| loads.place(s, now)).collect();
@@ -144,8 +160,14 @@
         registry: &Registry,
         now: Millis,
     ) -> Option<Pool<'a>> {
-        let mut pool = Pool { now: Vec::new(), later: None };
+        let mut pool = Pool { now: Vec::new(), later: None, retry_after: None };
         for server in servers {
+            let left = self.gw.retry_after_left(server, now);
+            if left > Millis(0) {
+                pool.retry_after =
+                    Some(pool.retry_after.map_or(left, |shortest| shortest.min(left)));
+                continue;
+            }
             match self.gw.upcoming_turns(server, registry, now) {
                 None => pool.now.push(server),
                 Some(turns) if turns.wait == Millis(0) => pool.now.push(server),
@@ -154,7 +176,9 @@
                 }
             }
         }
-        (!pool.now.is_empty() || pool.later.is_some()).then_some(pool)
+        let has_servers =
+            !pool.now.is_empty() || pool.later.is_some() || pool.retry_after.is_some();
+        has_servers.then_some(pool)
     }
 
     fn no_backend(&self) -> Failed {
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -8,6 +8,7 @@
 };
 
 use crate::answer::Failed;
+use crate::choice::Choice;
 use crate::clock::within;
 use crate::feeds::Feed;
 use crate::gateway::{Gateway, StoreCopy};
@@ -196,7 +197,9 @@
             (None, Admission::Refused(left)) => Err(self.quarantined(left)),
             (None, Admission::Trial(number)) => {
                 // One that finds no server would be used up for nothing.
-                self.pick()?;
+                if let Choice::RetryAfter(left) = self.pick()? {
+                    return Err(self.quarantined(left));
+                }
                 if !self.gw.claim_trial(self.fingerprint, number).await {
                     return Err(self.quarantined(SOON));
                 }
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -46,8 +46,8 @@
     Crash(Duration),
     /// Says that it did not run it.
     NotRun(u16),
-    /// Refuses it and asks for no requests for a time.
-    Rest(Duration),
+    /// Says with 503 that it did not run it, with this delay as `Retry-After`.
+    RetryAfter(Duration),
     /// Runs it and resets the connection.
     Reset,
     /// Runs it and says nothing until the connection closes.
@@ -387,7 +387,7 @@
             Some(id) if id != self.spec.id => Plan::NotRun(421),
             _ => plan(&arrival),
         };
-        arrival.ran = !matches!(plan, Plan::NotRun(_) | Plan::Rest(_));
+        arrival.ran = !matches!(plan, Plan::NotRun(_) | Plan::RetryAfter(_));
         let index = {
             let mut arrivals = self.arrivals.lock().unwrap_or_else(PoisonError::into_inner);
             arrivals.push(arrival.clone());
@@ -420,8 +420,9 @@
                 let not_run = if status == 421 { "" } else { "Not-Executed: 1\r\n" };
                 writer.write_all(&self.whole(arrival, status, not_run, b""))?;
             }
-            Plan::Rest(rest) => {
-                let more = format!("Not-Executed: 1\r\nRetry-After: {:.3}\r\n", rest.as_secs_f64());
+            Plan::RetryAfter(delay) => {
+                let more =
+                    format!("Not-Executed: 1\r\nRetry-After: {:.3}\r\n", delay.as_secs_f64());
                 writer.write_all(&self.whole(arrival, 503, &more, b""))?;
             }
             Plan::Bytes(bytes) => {
