test(soak): engines that report limits, announce leaving or send Retry-After

Cause: no fault in the soak made engines report anything in their answers, so gateways that ignored such reports were not detected.

The checks use what engines and callers saw, attributed to the gateway that sent each request: at most two requests between one second after a refusal and the end of its delay; none later than three seconds after the arrival of a request whose answer announced leaving and was passed on; no more within four seconds than one and a half times a limit and five, over all gateways that have passed it on. A gateway is exempt around a stop, kill or freeze; an engine is exempt if its connections were disturbed.

--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -43,6 +43,9 @@
     /// A failure domain is emptied and returned, and engines are cold.
     #[arg(long)]
     domains: bool,
+    /// Engines report limits, announce that they are leaving, or refuse requests with Retry-After.
+    #[arg(long)]
+    reports: bool,
     /// Folder for the logs of seeds that broke a promise.
     #[arg(long, default_value = "results")]
     logs: PathBuf,
@@ -74,6 +77,7 @@
             deadly: args.deadly,
             restores: args.restores,
             domains: args.domains,
+            reports: args.reports,
         };
         let outcome = play(&settings);
         println!(
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod domains;
 mod faults;
 mod play;
+mod reports;
 mod restores;
 mod world;
 
--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -12,6 +12,7 @@
 use crate::deadly;
 use crate::domains::Domains;
 use crate::faults::{bring_about, clear_ways, schedule};
+use crate::reports::Reports;
 use crate::restores::Restores;
 use crate::world::World;
 
@@ -38,6 +39,8 @@
     pub restores: bool,
     /// Whether a failure domain is emptied and returned, and engines are cold.
     pub domains: bool,
+    /// Whether engines report limits, announce that they are leaving, or refuse requests with `Retry-After`.
+    pub reports: bool,
 }
 
 /// What came of a play.
@@ -84,6 +87,7 @@
     let mut outcome = Outcome::default();
     let (stop, count) = (AtomicBool::new(false), AtomicU64::new(0));
     let seen = Mutex::new(Vec::new());
+    let mut reports = Reports::new(settings.seed);
     // Gateways get new addresses at a restart; callers look them up for each request.
     let addresses = Mutex::new(addresses(&world));
     std::thread::scope(|scope| {
@@ -121,11 +125,16 @@
             if settings.domains {
                 outcome.faults.extend(domains.step(&mut world));
             }
+            if settings.reports {
+                outcome.faults.extend(reports.step(&mut world));
+            }
             domains.notes(planned.fault);
+            let began = Instant::now();
             outcome.faults.push(planned.fault.to_string());
             if let Err(why) = bring_about(&mut world, planned.fault) {
                 outcome.broken.push(why);
             }
+            reports.notes(&world, planned.fault, began);
             *addresses.lock().expect("no caller panics") = self::addresses(&world);
         }
         stop.store(true, Ordering::SeqCst);
@@ -157,6 +166,7 @@
     let never_cleared = innocent.iter().filter(|path| !is_served(&world, path));
     outcome.broken.extend(never_cleared.map(|path| format!("{path}: innocent, and still refused")));
     outcome.broken.extend(violations(&seen, &arrivals));
+    outcome.broken.extend(reports.check(&arrivals, &seen, settings.gateways));
     if !outcome.broken.is_empty() {
         outcome.lines = world.fleet.lines();
     }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashSet;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::time::Duration;
 
 use redwingfold_standins::LinkFault;
@@ -14,6 +14,7 @@
 use crate::deadly::{ENDS_AFTER, is_deadly};
 use crate::domains::{COLD, DOMAIN, PER_SECOND};
 use crate::play::Settings;
+use crate::reports::RETRY_AFTER;
 
 /// Bytes a second of a slow way to the store: a configuration of 400 kB takes a second.
 const SLOW_WAY: u64 = 400_000;
@@ -23,6 +24,18 @@
 pub(crate) struct Mishaps {
     /// Any of the ways below, drawn by the request's id.
     pub(crate) any: AtomicU32,
+    /// Whether engines send `Retry-After` when they refuse a request.
+    pub(crate) sends_retry_after: AtomicBool,
+}
+
+impl Mishaps {
+    fn refusal(&self) -> Plan {
+        if self.sends_retry_after.load(Ordering::SeqCst) {
+            Plan::RetryAfter(RETRY_AFTER)
+        } else {
+            Plan::NotRun(503)
+        }
+    }
 }
 
 /// Draws a number below 1000 from a request's id and a salt, so that an engine's deeds do not
@@ -47,7 +60,7 @@
     }
     match draw(arrival.id(), salt + 1) % 6 {
         0 => Plan::Reset,
-        1 => Plan::NotRun(503),
+        1 => mishaps.refusal(),
         2 => Plan::Answer(500, b"failure".to_vec()),
         3 => Plan::Bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong".to_vec()),
         4 => Plan::Later(Duration::from_millis(700), 200, body),
@@ -73,7 +86,7 @@
     }
     match draw(id, salt + 1) % 5 {
         0 => Plan::Reset,
-        1 => Plan::NotRun(503),
+        1 => mishaps.refusal(),
         2 => Plan::Stream(StreamPlan { cut_after: Some(u64::from(draw(id, 5) % 6)), ..calm }),
         3 => Plan::Stream(StreamPlan { silent_after: Some(2), ..calm }),
         _ => Plan::Answer(500, b"failure".to_vec()),
@@ -88,7 +101,7 @@
     pub(crate) config: Config,
     /// How the way to the store is while nothing disturbs it.
     pub(crate) calm_way: LinkFault,
-    /// Engines that have drained.
+    /// Engines that have drained or announced that they are leaving.
     pub(crate) left: HashSet<String>,
     next_engine: u64,
     /// Whether half of the engines are in another failure domain.
@@ -116,7 +129,10 @@
         fleet.publish(&config);
         let mut world = Self {
             fleet,
-            mishaps: Arc::default(),
+            mishaps: Arc::new(Mishaps {
+                sends_retry_after: settings.reports.into(),
+                ..Mishaps::default()
+            }),
             config,
             calm_way,
             left: HashSet::new(),
