fix(gateway): limits and leaving servers always fit into one message to the peers

Cause: 64 limits and as many leaving servers take 2 kB, over the 1,400 bytes of a datagram; a longer message is dropped whole once its loads are left out. Read in the code, not seen.

Change: 32 of each, 1 kB at most.

--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -242,7 +242,7 @@
     /// Queues a limit for the peers; drops it if the queue is full.
     pub(crate) fn tell_limit(&self, server: u64, news: LimitNews) {
         let limits = &mut self.0.borrow_mut().untold.limits;
-        if limits.len() < MAX_UNTOLD || limits.contains_key(&server) {
+        if limits.len() < MAX_UNTOLD / 2 || limits.contains_key(&server) {
             limits.insert(server, news);
         }
     }
@@ -252,7 +252,7 @@
     /// They are repeated because a message may be lost, and no further answer from the server triggers another one.
     pub(crate) fn tell_leaving(&self, server: u64, now: Millis) {
         let notices = &mut self.0.borrow_mut().leaving_notices;
-        if notices.len() < MAX_UNTOLD {
+        if notices.len() < MAX_UNTOLD / 2 {
             let (next_at, until) = (now, now.after(LEAVING_NOTICE_DURATION));
             notices.entry(server).or_insert(NoticeSchedule { next_at, until });
         }
