test(soak): check delays only where engines request them

Cause: the checks of what engines report ran in all plays.

Change: the checks run where engines report something.

--- a/soak/src/play.rs
+++ b/soak/src/play.rs
@@ -166,7 +166,9 @@
     let never_cleared = innocent.iter().filter(|path| !is_served(&world, path));
     outcome.broken.extend(never_cleared.map(|path| format!("{path}: innocent, and still refused")));
     outcome.broken.extend(violations(&seen, &arrivals));
-    outcome.broken.extend(reports.check(&arrivals, &seen, settings.gateways));
+    if settings.reports {
+        outcome.broken.extend(reports.check(&arrivals, &seen, settings.gateways));
+    }
     if !outcome.broken.is_empty() {
         outcome.lines = world.fleet.lines();
     }
