feat(gateway): log failures that servers answer with, and their load

A version that fails under load was in service at the large site before its 50th bad answer, and the log could not tell why: a request whose failure was answered by another server left no line, and no line had a server's load.

--- a/gateway/src/flight_log.rs
+++ b/gateway/src/flight_log.rs
@@ -1,6 +1,6 @@
 //! What the log says of a request and its attempts.
 
-use crate::attempt::Attempted;
+use crate::attempt::{Attempted, Begun};
 use crate::request::Flight;
 use redwingfold_core::{Arm, BackendServer};
 use xxhash_rust::xxh3::xxh3_64;
@@ -32,6 +32,26 @@
         );
     }
 
+    /// Writes a line for a failure that a server answered with, and the load that it reports.
+    pub(crate) fn log_failure(&self, begun: &Begun) {
+        let load = begun.facts.load.unwrap_or_default();
+        self.gw.telemetry.count("attempt.failure", 1);
+        self.gw.telemetry.info(
+            "answer_failed",
+            &[
+                ("request", &self.facts.id),
+                ("route", &self.route.name),
+                ("server", &begun.server.id),
+                ("version", &begun.server.version),
+                ("status", &begun.head.status.as_u16()),
+                ("running", &load.running),
+                ("waiting", &load.waiting),
+                ("slots", &load.slots),
+                ("first_ms", &begun.first_byte),
+            ],
+        );
+    }
+
     /// Writes a line for an answer that broke off after its head.
     pub(crate) fn log_broken(&self, server: &BackendServer, why: &str) {
         self.gw.telemetry.count("attempt.broken", 1);
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -248,6 +248,7 @@
         (self.server, self.confidence) = (Some(begun.server.clone()), begun.facts.confidence);
         self.first_byte = Some(self.gw.now().since(self.begun));
         if is_failure {
+            self.log_failure(begun);
             self.failed_at(&begun.server, Fault::Answered);
             return !self.try_again();
         }
