fix(core): load a few servers in a roll-out's trial, so that faults under load show

Until then its servers ran 4 requests at most, 1.8 in the mean, while those of the version in service ran 10 to 16: the trial's few requests were spread over as many servers as the version in service has. Ruled out: that the verdict came late (no failure was there to be judged).

Change: from the middle of the window on, and in the ramp, only a few of the target's servers get its requests, as many that each has up to twice the requests that it would have with all of the traffic. Half of them are of each half of the version's servers, by a hash, and the answers are counted by half: a fault that only one half shows does not count, as one server that fails by itself would take a good version with it. Times are compared with those of the version in service at the same load (a line fitted over the load of the server that answers).

A service of fewer servers than that takes is tried as before.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -50,8 +50,8 @@
 pub use rollout::{SequentialTest, Tally, TestVerdict};
 pub use route::{Denied, Plan, choose_version, plan, session_share};
 pub use serving::{
-    Admission, Affinity, Arm, ArmChoice, BackendId, BackendServer, Broke, CallLimits, Canary,
-    CanaryPolicy, Catalog, ColdLimit, ColdPolicy, ConnectTimes, Counts, Customer, EndedRun,
+    Admission, Affinity, AnswerSums, Arm, ArmChoice, BackendId, BackendServer, Broke, CallLimits,
+    Canary, CanaryPolicy, Catalog, ColdLimit, ColdPolicy, ConnectTimes, Counts, Customer, EndedRun,
     EvacuationChange, Evacuations, EventId, EventSplitter, ExposureBudget, Fault, FeedHeard,
     FeedPast, FeedTold, FeedView, Fingerprint, HealthPolicy, Homes, Larger, Leads, LeavingServers,
     LimitChange, LimitPolicy, Mark, MarkChange, Members, MovedSessions, OrderAge, Owed,
@@ -61,6 +61,7 @@
     RouteEvidence, RouteName, SendTurns, Sent, ServerEnds, ServerHealth, ServerLimits,
     ServerReport, ServerState, Service, ServiceName, SessionKey, Shared, SilencePolicy,
     SilenceWatch, SizePolicy, StatusBook, StreamRules, StreamTimes, Times, Unreached,
-    UrgencyPolicy, WholeEvents, Work, is_newest_shorter, place,
+    UrgencyPolicy, UsualTime, WholeEvents, Work, is_in_first_half, is_newest_shorter, lead_servers,
+    place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/answers.rs
+++ b/core/src/serving/answers.rs
@@ -112,6 +112,48 @@
     pub begin: Times,
     /// Pauses between the events of streams.
     pub pace: Times,
+    /// Those of them that came from one half of the version's servers.
+    pub half: AnswerSums,
+}
+
+/// Sums over answers that came from some of a version's servers.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct AnswerSums {
+    /// Answers that were no failures.
+    pub good: u64,
+    /// Failures.
+    pub failed: u64,
+    /// Times to the first byte.
+    pub begin: Times,
+    /// Pauses between the events of streams.
+    pub pace: Times,
+}
+
+impl AnswerSums {
+    fn plus(self, other: Self) -> Self {
+        Self {
+            good: self.good + other.good,
+            failed: self.failed + other.failed,
+            begin: self.begin.plus(other.begin),
+            pace: self.pace.plus(other.pace),
+        }
+    }
+
+    fn minus(self, other: Self) -> Self {
+        Self {
+            good: self.good.saturating_sub(other.good),
+            failed: self.failed.saturating_sub(other.failed),
+            begin: self.begin.minus(other.begin),
+            pace: self.pace.minus(other.pace),
+        }
+    }
+}
+
+impl From<AnswerSums> for Counts {
+    fn from(sums: AnswerSums) -> Self {
+        let AnswerSums { good, failed, begin, pace } = sums;
+        Self { good, failed, begin, pace, half: AnswerSums::default() }
+    }
 }
 
 /// Answers on one route in the time of a roll-out.
@@ -127,22 +169,23 @@
     /// Adds others' counts.
     #[must_use]
     pub fn plus(self, other: Self) -> Self {
-        Self {
-            good: self.good + other.good,
-            failed: self.failed + other.failed,
-            begin: self.begin.plus(other.begin),
-            pace: self.pace.plus(other.pace),
-        }
+        Self { half: self.half.plus(other.half), ..self.sums().plus(other.sums()).into() }
     }
 
     /// Returns what has been added since earlier counts.
     pub(crate) fn since(self, earlier: Self) -> Self {
-        Self {
-            good: self.good.saturating_sub(earlier.good),
-            failed: self.failed.saturating_sub(earlier.failed),
-            begin: self.begin.minus(earlier.begin),
-            pace: self.pace.minus(earlier.pace),
-        }
+        Self { half: self.half.minus(earlier.half), ..self.sums().minus(earlier.sums()).into() }
+    }
+
+    /// Returns the answers of each half of the version's servers.
+    pub(crate) fn halves(self) -> [Self; 2] {
+        [self.half.into(), self.sums().minus(self.half).into()]
+    }
+
+    /// Returns the sums over all servers.
+    pub fn sums(self) -> AnswerSums {
+        let Self { good, failed, begin, pace, half: _ } = self;
+        AnswerSums { good, failed, begin, pace }
     }
 
     pub(crate) fn answers(self) -> u64 {
@@ -156,6 +199,12 @@
     pub(crate) fn is_slower(self, usual: Self) -> bool {
         self.begin.is_longer(usual.begin) || self.pace.is_longer(usual.pace)
     }
+
+    /// Says whether the mean times are those of a slow version, with or without doubt.
+    pub(crate) fn looks_slower(self, usual: Self) -> bool {
+        let longer = |times: Times, usual: Times| times.mean() - usual.mean() > MIN_LONGER;
+        longer(self.begin, usual.begin) || longer(self.pace, usual.pace)
+    }
 }
 
 impl RouteEvidence {
--- a/core/src/serving/canary.rs
+++ b/core/src/serving/canary.rs
@@ -116,6 +116,15 @@
 /// message that was on its way for the shortest time counts.
 const MAX_AHEAD: Millis = Millis(200);
 
+/// Servers without which there is no load trial: one that fails by itself would be all of them.
+const MIN_LOAD_TRIAL: usize = 2;
+
+/// Answers below which one half of the target's servers is passed over, once there are some of the other.
+const MIN_HALF: u64 = 4;
+
+/// Answers of the target after which a half with hardly any is taken to have no servers.
+const MIN_BESIDE_SILENT: u64 = 20;
+
 /// Answers of the version in service below which its share of bad ones says little.
 const MIN_COMPARED: u64 = 20;
 
@@ -180,7 +189,7 @@
     pub fn step(&mut self, shared: &Shared, now: Millis) -> Phase {
         self.phase = match self.phase {
             Phase::Done | Phase::RolledBack => self.phase,
-            _ if self.is_bad(shared) => Phase::RolledBack,
+            _ if self.is_bad(shared, now) => Phase::RolledBack,
             Phase::Trial if self.is_past(self.policy.trial_until, now) && self.is_tried(shared) => {
                 Phase::Ramp
             }
@@ -227,6 +236,22 @@
         }
     }
 
+    /// Returns how many of the target's servers should get its requests; `None` if all should.
+    ///
+    /// A version that fails under load shows nothing while its few requests are spread over as many servers as the version
+    /// in service has: it comes into service and fails in the first burst, with no other left. So a few servers get them, as
+    /// many requests each as in a burst.
+    pub fn load_trial(&self, servers: usize, now: Millis) -> Option<usize> {
+        let is_load_trial = match self.phase {
+            Phase::Trial => self.is_past(SESSIONS_STAY_UNTIL, now),
+            Phase::Ramp => true,
+            Phase::Full | Phase::Done | Phase::RolledBack => false,
+        };
+        let share = f64::from(self.policy.session_trial.max(self.share()).0) / 1000.0;
+        let count = (servers as f64 * share / self.policy.load_trial).ceil() as usize;
+        (is_load_trial && (MIN_LOAD_TRIAL..servers).contains(&count)).then_some(count)
+    }
+
     /// Returns the least age of the order at which sessions move. All other gateways know then that the first half is over.
     fn sessions_move_from(&self) -> Millis {
         self.part_of_window(SESSIONS_STAY_UNTIL).after(MAX_AHEAD)
@@ -346,16 +371,28 @@
     ///
     /// A version may be bad on one route only, and its failures would drown among the answers of
     /// the others: at half of one route's answers in three, it went on into full service.
-    fn is_bad(&self, shared: &Shared) -> bool {
-        shared.routes.iter().any(|route| self.is_worse(*route)) || self.is_worse(shared.total())
+    fn is_bad(&self, shared: &Shared, now: Millis) -> bool {
+        let is_worse = |route| self.is_worse(route, now);
+        shared.routes.iter().copied().any(is_worse) || is_worse(shared.total())
     }
 
-    /// Compares with the version in service: what is wrong with both is not the target's fault.
-    fn is_worse(&self, route: RouteEvidence) -> bool {
+    /// Compares with the version in service: what is wrong with both is not the target's fault. From the load trial on, nor is
+    /// what only one half of its servers shows: a few servers get most of its requests then, and one of these that fails by
+    /// itself would take a good version with it.
+    fn is_worse(&self, route: RouteEvidence, now: Millis) -> bool {
         let RouteEvidence { target, current } = route;
         let always = self.policy.allowed_failed;
-        let alpha = self.policy.alpha;
-        self.stops(target.tally(), current.tally(), always, alpha) || target.is_slower(current)
+        let fails =
+            |counts: Counts, alpha| self.stops(counts.tally(), current.tally(), always, alpha);
+        let has_filled = self.is_past(SESSIONS_STAY_UNTIL, now);
+        let is_silent =
+            |half: Counts| half.answers() < MIN_HALF && target.answers() >= MIN_BESIDE_SILENT;
+        let in_both = |shows: &dyn Fn(Counts) -> bool| {
+            !has_filled || target.halves().into_iter().all(|half| is_silent(half) || shows(half))
+        };
+        let is_failing = fails(target, self.policy.alpha) && in_both(&|half| fails(half, SUSPECT));
+        let is_slow = target.is_slower(current) && in_both(&|half| half.looks_slower(current));
+        is_failing || is_slow
     }
 
     /// Says whether failures are more than usual, though not yet beyond doubt.
--- a/core/src/serving/canary_policy.rs
+++ b/core/src/serving/canary_policy.rs
@@ -13,6 +13,8 @@
     pub session_trial: PerMille,
     /// Share in the ramp.
     pub ramp: PerMille,
+    /// Requests that a server gets in the load trial, as a multiple of those that it would get with all of the traffic.
+    pub load_trial: f64,
     /// Part of the window that the trial takes.
     pub trial_until: PerMille,
     /// Part of the window at which the ramp ends.
@@ -71,6 +73,7 @@
             trial: per_mille(exposure * TRIAL_PART),
             session_trial: per_mille(exposure * SESSION_TRIAL_PART),
             ramp: per_mille(exposure * RAMP_PART),
+            load_trial: 2.0,
             trial_until: PerMille(800),
             ramp_until: per_mille(1.0 - exposure * FULL_PART),
             done_by: PerMille(955),
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -33,8 +33,9 @@
 mod turns;
 mod unreached;
 mod urgency;
+mod usual_time;
 
-pub use answers::{Counts, RouteEvidence, Shared, Times};
+pub use answers::{AnswerSums, Counts, RouteEvidence, Shared, Times};
 pub use budget::{RepeatBudget, RepeatUse};
 pub use canary::{Affinity, Arm, ArmChoice, Canary, OrderAge, Phase, RolloutOrder};
 pub use canary_policy::CanaryPolicy;
@@ -57,7 +58,7 @@
 pub use load::{PeerLoad, PeerLoads, ReadRates, ServerReport};
 pub use members::Members;
 pub use patience::Patience;
-pub use placement::{Place, PlacementPolicy, Work, place};
+pub use placement::{Place, PlacementPolicy, Work, is_in_first_half, lead_servers, place};
 pub use quarantine::{Admission, Mark, MarkChange, Quarantine, QuarantinePolicy};
 pub use registry::{
     BackendServer, PassedServers, PutOutcome, Registry, RegistryPolicy, ServerState,
@@ -72,3 +73,4 @@
 pub use turns::SendTurns;
 pub use unreached::Unreached;
 pub use urgency::UrgencyPolicy;
+pub use usual_time::UsualTime;
--- a/core/src/serving/placement.rs
+++ b/core/src/serving/placement.rs
@@ -105,6 +105,41 @@
     Some(pool[best[draw(best.len())]])
 }
 
+/// Returns the first `count` of a version's servers in an order that is the same on all gateways, half of them from each half
+/// of the servers. Those that are left out are passed over.
+///
+/// ```
+/// use redwingfold_core::{Millis, Place, is_in_first_half, lead_servers};
+/// let place = |n: usize| Place {
+///     id: format!("s{n}").as_str().into(),
+///     running: 0.0, waiting: 0.0, unread: Millis(0), slots: 8, is_out: n == 3,
+/// };
+/// let lead = lead_servers((0..40).map(place).collect(), 4);
+/// assert_eq!(lead.iter().filter(|p| is_in_first_half(&p.id)).count(), 2);
+/// assert!(lead.iter().all(|p| !p.is_out));
+/// ```
+pub fn lead_servers(places: Vec<Place>, count: usize) -> Vec<Place> {
+    let (mut first, mut second): (Vec<_>, Vec<_>) =
+        places.into_iter().filter(|p| !p.is_out).partition(|p| is_in_first_half(&p.id));
+    first.sort_by_key(|p| lead_rank(&p.id));
+    second.sort_by_key(|p| lead_rank(&p.id));
+    let of_second = (count / 2).max(count.saturating_sub(first.len())).min(second.len());
+    first.truncate(count - of_second);
+    first.extend(second.into_iter().take(of_second));
+    first
+}
+
+/// Says to which half of its version's servers a server belongs.
+pub fn is_in_first_half(id: &BackendId) -> bool {
+    lead_rank(id).is_multiple_of(2)
+}
+
+/// Another order than that for any prompt.
+fn lead_rank(id: &BackendId) -> u64 {
+    const SEED: u64 = 0x6c65_6164;
+    xxh3_64_with_seed(id.as_str().as_bytes(), SEED)
+}
+
 /// Ranks servers for a shared prompt.
 fn ranked(pool: &[&Place], prompt: u64) -> Vec<usize> {
     let mut ranked: Vec<_> = (0..pool.len()).collect();
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use redwingfold_core::{BackendServer, EndedRun, EventId, Millis, Owed, Repeat, SilenceWatch};
 
 use crate::clock::within;
-use crate::facts::{AnswerFacts, AttemptFacts};
+use crate::facts::{AnswerFacts, AttemptFacts, ReportedLoad};
 use crate::load::UnderWay;
 use crate::request::Flight;
 use crate::upstream::{CallError, Caller, chain};
@@ -57,6 +57,14 @@
 }
 
 impl Begun {
+    /// Returns the requests that its server runs and that wait there, for each of its slots; 0 if it does not say.
+    pub(crate) fn load(&self) -> f64 {
+        let of = |load: ReportedLoad| {
+            f64::from(load.running + load.waiting) / f64::from(load.slots.max(1))
+        };
+        self.facts.load.map_or(0.0, of)
+    }
+
     /// Reads on.
     pub(crate) async fn next(&mut self) -> Next {
         loop {
--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -2,7 +2,7 @@
 
 use redwingfold_core::{
     Arm, ArmChoice, BackendServer, ErrorKind, FailureDomain, Millis, Place, Registry, RequestRate,
-    ServerState, place,
+    ServerState, lead_servers, place,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -68,6 +68,8 @@
     later: Option<UpcomingTurns>,
     /// Shortest remaining delay of the servers that requested one with `Retry-After`.
     retry_after: Option<Millis>,
+    /// How many of the servers get requests, if not all do.
+    lead: Option<usize>,
 }
 
 impl Flight {
@@ -128,6 +130,7 @@
         let mut places: Vec<Place> = pool.now.iter().map(|s| loads.place(s, now)).collect();
         bound_left_out(&mut places, self.gw.settings.health.max_out_share);
         let policy = &self.gw.settings.placement;
+        let places = pool.lead.map_or(places.clone(), |count| lead_servers(places, count));
         let found = place(&places, self.work(self.size), policy, |n| fastrand::usize(..n))?;
         let server = pool.now.into_iter().find(|s| s.id == found.id)?;
         Some(Choice::Server(Box::new(server.clone()), found.unread))
@@ -144,7 +147,7 @@
         now: Millis,
     ) -> Option<PoolChoice<'a>> {
         let bound = self.bound();
-        let (choice, bound_by, of_target, of_current) = self.gw.with_rollouts(|r| {
+        let (choice, bound_by, load_trial, of_target, of_current) = self.gw.with_rollouts(|r| {
             let of_arm = |arm: Arm| -> Vec<&'a BackendServer> {
                 // A version that was rolled back has no arm, so that it is never taken instead.
                 let has_arm =
@@ -152,7 +155,11 @@
                 servers.iter().filter(has_arm).copied().collect()
             };
             let choice = r.arm(&self.service, bound, now);
-            (choice, r.bound_by(bound, now), of_arm(Arm::Target), of_arm(Arm::Current))
+            let of_target = of_arm(Arm::Target);
+            let load_trial =
+                r.canary(&self.service).and_then(|canary| canary.load_trial(of_target.len(), now));
+            let bound_by = r.bound_by(bound, now);
+            (choice, bound_by, load_trial, of_target, of_arm(Arm::Current))
         });
         let arm = match choice {
             ArmChoice::Arm(arm) => arm,
@@ -167,7 +174,7 @@
             Arm::Current if of_current.is_empty() => pool(of_target),
             Arm::Current => pool(of_current),
             Arm::Target => {
-                let target = pool(of_target)?;
+                let target = Pool { lead: load_trial, ..pool(of_target)? };
                 let is_free = bound_by == BoundBy::Nothing;
                 let may_wait_elsewhere = target.now.is_empty() && is_free;
                 if may_wait_elsewhere && bound.session.is_some() && self.keepers_answer.is_none() {
@@ -203,7 +210,7 @@
         registry: &Registry,
         now: Millis,
     ) -> Option<Pool<'a>> {
-        let mut pool = Pool { now: Vec::new(), later: None, retry_after: None };
+        let mut pool = Pool { now: Vec::new(), later: None, retry_after: None, lead: None };
         for server in servers {
             let left = self.gw.retry_after_left(server, now);
             if left > Millis(0) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -43,7 +43,6 @@
 mod settings;
 mod turns;
 mod upstream;
-mod usual;
 
 pub use answer::{Answer, AnswerBody, text_answer};
 pub use clock::Clock;
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use redwingfold_core::{
-    BackendServer, Counts, FeedTold, Fingerprint, Incarnation, Mark, MarkChange, Millis,
-    ParseIdError, Phase, RequestRate, RouteEvidence, Sent, ServerReport, ServerState, Times,
+    AnswerSums, BackendServer, Counts, FeedTold, Fingerprint, Incarnation, Mark, MarkChange,
+    Millis, ParseIdError, Phase, RequestRate, RouteEvidence, Sent, ServerReport, ServerState,
+    Times,
 };
 use serde::{Deserialize, Serialize};
 
@@ -79,7 +80,11 @@
 
 /// Good, failed; number, sum and sum of squares of times to the first byte, and of pauses.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
-pub(crate) struct CountsWire(u64, u64, (u64, f32, f32), (u64, f32, f32));
+pub(crate) struct SumsWire(u64, u64, (u64, f32, f32), (u64, f32, f32));
+
+/// All answers, and those of one half of the servers if there are any.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct CountsWire(SumsWire, Option<SumsWire>);
 
 /// Requests that a gateway has sent in a roll-out, those to the target, and its requests a second.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -249,15 +254,15 @@
     }
 }
 
-impl From<Counts> for CountsWire {
-    fn from(counts: Counts) -> Self {
+impl From<AnswerSums> for SumsWire {
+    fn from(sums: AnswerSums) -> Self {
         let times = |t: Times| (t.n, t.sum as f32, t.squares as f32);
-        Self(counts.good, counts.failed, times(counts.begin), times(counts.pace))
+        Self(sums.good, sums.failed, times(sums.begin), times(sums.pace))
     }
 }
 
-impl From<CountsWire> for Counts {
-    fn from(message: CountsWire) -> Self {
+impl From<SumsWire> for AnswerSums {
+    fn from(message: SumsWire) -> Self {
         let times = |(n, sum, squares): (u64, f32, f32)| Times {
             n,
             sum: f64::from(sum),
@@ -267,6 +272,20 @@
     }
 }
 
+impl From<Counts> for CountsWire {
+    fn from(counts: Counts) -> Self {
+        let half = (counts.half != AnswerSums::default()).then(|| counts.half.into());
+        Self(counts.sums().into(), half)
+    }
+}
+
+impl From<CountsWire> for Counts {
+    fn from(message: CountsWire) -> Self {
+        let half = message.1.map(AnswerSums::from).unwrap_or_default();
+        Self { half, ..AnswerSums::from(message.0).into() }
+    }
+}
+
 fn messages(evidence: &RouteEvidence) -> [CountsWire; 2] {
     [evidence.target.into(), evidence.current.into()]
 }
--- a/gateway/src/peers.rs
+++ b/gateway/src/peers.rs
@@ -40,8 +40,8 @@
 /// Bytes of these that only messages on reads of the store may take.
 const KEPT_FOR_FEEDS: u64 = 20_000;
 
-/// Routes in a message on a roll-out: each takes up to 55 bytes, and names the rest.
-const MAX_ROUTES: usize = 20;
+/// Routes in a message on a roll-out: each takes up to 85 bytes, and names the rest.
+const MAX_ROUTES: usize = 14;
 
 /// Gateways that are told of what was fetched from another one. With eight each, all of some hundreds have
 /// somebody to ask after three rounds.
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -7,6 +7,7 @@
 use redwingfold_core::{
     Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, Fault,
     Fingerprint, Millis, Priority, RepeatUse, Route, RunState, ServiceName, VersionName, Work,
+    is_in_first_half,
 };
 
 use crate::answer::{Answer, Failed, passed_on, whole_body};
@@ -293,6 +294,8 @@
             version: &begun.server.version,
             route: &self.route.name,
             size: begun.size.unwrap_or(0),
+            load: begun.load(),
+            is_first_half: is_in_first_half(&begun.server.id),
             sight,
         };
         self.gw.with_rollouts(|r| r.saw_answer(&seen));
--- a/gateway/src/restored_rollouts_tests.rs
+++ b/gateway/src/restored_rollouts_tests.rs
@@ -235,8 +235,15 @@
         for version in [version(1), target] {
             let good = Sight::FirstByte { took: Millis(100), expected: Millis(60) };
             let sight = if is_bad && version != self::version(1) { Sight::Failed } else { good };
-            let size = 0;
-            let seen = Seen { service: &service, version: &version, route: &route, size, sight };
+            let seen = Seen {
+                service: &service,
+                version: &version,
+                route: &route,
+                size: 0,
+                load: 0.0,
+                is_first_half: false,
+                sight,
+            };
             gateway.rollouts.saw_answer(&seen);
             gateway.rollouts.sent(&service, &version, None, Millis(ms));
         }
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -3,15 +3,15 @@
 use std::collections::{HashMap, HashSet};
 
 use redwingfold_core::{
-    Arm, Canary, CanaryPolicy, Millis, MovedSessions, OrderAge, Phase, RolloutOrder, RouteEvidence,
-    RouteName, Sent, ServiceName, Shared, StatusBook, VersionName,
+    AnswerSums, Arm, Canary, CanaryPolicy, Counts, Millis, MovedSessions, OrderAge, Phase,
+    RolloutOrder, RouteEvidence, RouteName, Sent, ServiceName, Shared, StatusBook, UsualTime,
+    VersionName,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::gateway::StoreCopy;
 use crate::rollout_news::{Recorded, RolloutNews};
-use crate::usual::Usual;
 
 /// Age at which another gateway's requests no longer count as coming on: it is gone or cut off.
 const MAX_NEWS_AGE: Millis = Millis(4_000);
@@ -40,7 +40,7 @@
     ended_at: Option<Millis>,
     routes: HashMap<u32, RouteEvidence>,
     others: HashMap<String, (RolloutNews, Millis)>,
-    usual: HashMap<(u32, usize, bool), Usual>,
+    usual: HashMap<(u32, usize, bool), UsualTime>,
 }
 
 /// The versions of all services, and their roll-outs.
@@ -98,6 +98,10 @@
     pub(crate) version: &'a VersionName,
     pub(crate) route: &'a RouteName,
     pub(crate) size: usize,
+    /// Requests that its server runs and that wait there, for each of its slots.
+    pub(crate) load: f64,
+    /// Whether its server belongs to the first half of the version's.
+    pub(crate) is_first_half: bool,
     pub(crate) sight: Sight,
 }
 
@@ -320,9 +324,9 @@
         };
         let is_pace = matches!(seen.sight, Sight::Pace(_));
         let usual = versions.usual.entry((route, seen.size, is_pace)).or_default();
-        let ratio = time.and_then(|time| usual.ratio(time));
+        let ratio = time.and_then(|time| usual.ratio(time, seen.load));
         if let (Some(Arm::Current), Some(time)) = (arm, time) {
-            usual.learn(time);
+            usual.learn(time, seen.load);
         }
         if versions.canary.as_ref().is_none_or(|canary| canary.phase() == Phase::Done) {
             return;
@@ -332,16 +336,17 @@
             Some(Arm::Current) => &mut evidence.current,
             Some(Arm::Target) | None => &mut evidence.target,
         };
-        match seen.sight {
-            Sight::Failed => counts.failed += 1,
-            Sight::FirstByte { .. } => counts.good += 1,
-            Sight::Pace(_) => {}
-        }
-        match ratio {
-            Some(ratio) if is_pace => counts.pace.add(ratio),
-            Some(ratio) => counts.begin.add(ratio),
-            None => {}
+        let mut one = AnswerSums::default();
+        match (seen.sight, ratio) {
+            (Sight::Failed, _) => one.failed = 1,
+            (Sight::FirstByte { .. }, ratio) => {
+                one.good = 1;
+                ratio.into_iter().for_each(|ratio| one.begin.add(ratio));
+            }
+            (Sight::Pace(_), ratio) => ratio.into_iter().for_each(|ratio| one.pace.add(ratio)),
         }
+        let half = if seen.is_first_half { one } else { AnswerSums::default() };
+        *counts = counts.plus(Counts { half, ..one.into() });
     }
 
     /// Returns when another gateway was last heard on a roll-out under way.
