fix(gateway): try versions that no order names before they are in service

What callers saw: a bad version whose servers register before its order is given gets its part of the traffic at each gateway that reads the orders in between: 14 of 200 requests at one gateway.

Cause, logged: a read of the orders that begins after the version's records and names none puts it into service.

Change: such a version gets nothing for ten seconds while others are left, and then the share of a trial for twenty, with the answers and the exposure of all gateways together, as in a roll-out; where no other is left it serves at once. Which versions are in service stands in the store: a gateway that starts took all versions of its first list for in service, also one whose order was about to come or that had been rolled back before the last order.

--- a/core/src/serving/canary.rs
+++ b/core/src/serving/canary.rs
@@ -80,6 +80,8 @@
 pub struct Canary {
     policy: CanaryPolicy,
     order: RolloutOrder,
+    /// Whether an operator has given the order.
+    is_announced: bool,
     /// The latest time at which the order may have been given.
     began: Millis,
     /// The earliest one.
@@ -92,6 +94,9 @@
     full_since: Option<(Millis, Counts)>,
 }
 
+/// Time for which a version that no order names is tried before it has its part of all requests.
+const UNANNOUNCED_TRIAL: Millis = Millis(20_000);
+
 /// How long all requests must have gone to the target before old ones count as ended: gateways
 /// hear of each other's counts twice a second.
 const SETTLE: Millis = Millis(900);
@@ -141,6 +146,7 @@
         Self {
             policy,
             order,
+            is_announced: true,
             began: ago(age.least),
             began_earliest: ago(age.most),
             is_age_known: !age.is_unknown,
@@ -150,6 +156,25 @@
         }
     }
 
+    /// Begins the trial of a version that no order names; `draw` is a random number.
+    ///
+    /// ```
+    /// use redwingfold_core::{Canary, CanaryPolicy, Millis, Phase, Shared};
+    /// let target = "v2".parse()?;
+    /// let mut trial = Canary::unannounced(CanaryPolicy::default(), target, Millis(0), 0);
+    /// assert_eq!(trial.step(&Shared::default(), Millis(60_000)), Phase::Trial);
+    /// # Ok::<(), redwingfold_core::ParseIdError>(())
+    /// ```
+    pub fn unannounced(policy: CanaryPolicy, target: VersionName, now: Millis, draw: u64) -> Self {
+        let order = RolloutOrder { target, window: UNANNOUNCED_TRIAL };
+        Self { is_announced: false, ..Self::new(policy, order, OrderAge::default(), now, draw) }
+    }
+
+    /// Returns whether an operator has given the order.
+    pub fn is_announced(&self) -> bool {
+        self.is_announced
+    }
+
     /// Returns the order.
     pub fn order(&self) -> &RolloutOrder {
         &self.order
@@ -190,6 +215,8 @@
         self.phase = match self.phase {
             Phase::Done | Phase::RolledBack => self.phase,
             _ if self.is_bad(shared, now) => Phase::RolledBack,
+            // The old version stays, and the servers of this one may be few: there is no moment of full traffic.
+            _ if !self.is_announced => self.step_unannounced(shared, now),
             Phase::Trial if self.is_past(self.policy.trial_until, now) && self.is_tried(shared) => {
                 Phase::Ramp
             }
@@ -203,6 +230,12 @@
         self.phase
     }
 
+    fn step_unannounced(&self, shared: &Shared, now: Millis) -> Phase {
+        let is_over = self.elapsed(now) >= self.order.window;
+        let is_good = is_over && self.is_tried(shared) && !self.is_suspect(shared);
+        if is_good { Phase::Done } else { Phase::Trial }
+    }
+
     /// Returns the share of requests without a session that goes to the target.
     pub fn share(&self) -> PerMille {
         match self.phase {
@@ -243,6 +276,7 @@
     /// many requests each as in a burst.
     pub fn load_trial(&self, servers: usize, now: Millis) -> Option<usize> {
         let is_load_trial = match self.phase {
+            _ if !self.is_announced => false,
             Phase::Trial => self.is_past(SESSIONS_STAY_UNTIL, now),
             Phase::Ramp => true,
             Phase::Full | Phase::Done | Phase::RolledBack => false,
@@ -384,7 +418,7 @@
         let always = self.policy.allowed_failed;
         let fails =
             |counts: Counts, alpha| self.stops(counts.tally(), current.tally(), always, alpha);
-        let has_filled = self.is_past(SESSIONS_STAY_UNTIL, now);
+        let has_filled = self.is_announced && self.is_past(SESSIONS_STAY_UNTIL, now);
         let is_silent =
             |half: Counts| half.answers() < MIN_HALF && target.answers() >= MIN_BESIDE_SILENT;
         let in_both = |shows: &dyn Fn(Counts) -> bool| {
--- /dev/null
+++ b/core/tests/unannounced.rs
@@ -0,0 +1,94 @@
+//! What a version that no order names may get from all gateways together.
+
+use redwingfold_core::{
+    Affinity, AnswerSums, Arm, ArmChoice, Canary, CanaryPolicy, Millis, Phase, RouteEvidence, Sent,
+    Shared,
+};
+
+const GATEWAYS: [(usize, u64); 4] = [(3, 100), (27, 300), (103, 800), (330, 3_200)];
+/// Time after which a gateway has heard what the others have seen, at most.
+const NEWS: u64 = 1_000;
+
+struct Played {
+    phases: Vec<Phase>,
+    /// Requests that the version got, of all.
+    got: u64,
+    all: u64,
+}
+
+/// Plays a trial at gateways that begin it up to a second apart; `bad` is the part of the version's answers that fail.
+fn play(gateways: usize, per_s: u64, bad: f64, seed: u64) -> Played {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let target = || "v2".parse().unwrap();
+    let policy = CanaryPolicy::for_exposure(0.0975);
+    let begins: Vec<_> = (0..gateways).map(|_| rng.u64(..1_000)).collect();
+    let mut trials: Vec<_> = begins
+        .iter()
+        .map(|at| Canary::unannounced(policy, target(), Millis(*at), rng.u64(..)))
+        .collect();
+    let mut own = vec![RouteEvidence::default(); gateways];
+    let mut told = (RouteEvidence::default(), Sent::default());
+    let (mut got, mut all) = (0, 0);
+    for ms in (1_000..25_000).step_by(50) {
+        let now = Millis(ms);
+        for _ in 0..per_s / 20 {
+            let g = rng.usize(..gateways);
+            let arm = match trials[g].arm(Affinity::None, rng.u64(..), now) {
+                ArmChoice::Arm(arm) => arm,
+                ArmChoice::AskKeepers => Arm::Current,
+            };
+            trials[g].sent(None, arm, now);
+            all += 1;
+            got += u64::from(arm == Arm::Target);
+            let is_bad = arm == Arm::Target && rng.f64() < bad;
+            let one = AnswerSums {
+                good: u64::from(!is_bad),
+                failed: u64::from(is_bad),
+                ..AnswerSums::default()
+            };
+            let sum = match arm {
+                Arm::Current => &mut own[g].current,
+                Arm::Target => &mut own[g].target,
+            };
+            *sum = sum.plus(one.into());
+        }
+        if ms % NEWS == 0 {
+            let sum = own.iter().fold(RouteEvidence::default(), |sum, e| sum.plus(*e));
+            let sent = trials.iter().fold(Sent::default(), |sum, t| sum.plus(t.counts(now)));
+            told = (sum, sent);
+        }
+        for g in 0..gateways {
+            let knows = if rng.bool() { told.0 } else { own[g] };
+            let shared = Shared { routes: vec![knows], sent: told.1 };
+            trials[g].step(&shared, now);
+        }
+    }
+    Played { phases: trials.iter().map(Canary::phase).collect(), got, all }
+}
+
+/// Each gateway by itself gives a bad version that no order names its part of the traffic until it has seen enough.
+#[test]
+fn bad_version_without_an_order_is_found_by_all_gateways_together() {
+    for (gateways, per_s) in GATEWAYS {
+        for seed in 0..3 {
+            let Played { phases, got, all } = play(gateways, per_s, 0.5, seed);
+            let what = format!("{gateways} gateways, seed {seed}: {got} of {all}");
+            assert!(phases.iter().all(|phase| *phase == Phase::RolledBack), "{what}: {phases:?}");
+            assert!(got * 1_000 <= all * 15 + 30_000, "{what}");
+        }
+    }
+}
+
+/// A version that no order names, and that shows no fault, gets more than the share of a trial before it is in service.
+#[test]
+fn version_without_an_order_gets_the_share_of_a_trial() {
+    for (gateways, per_s) in GATEWAYS {
+        for seed in 0..3 {
+            let Played { phases, got, all } = play(gateways, per_s, 0.0, seed);
+            let what = format!("{gateways} gateways, seed {seed}: {got} of {all}");
+            assert!(phases.iter().all(|phase| *phase == Phase::Done), "{what}: {phases:?}");
+            // It is in service for the last 4 s of 24 s.
+            assert!(got * 100 <= all * 25, "{what}");
+        }
+    }
+}
--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -147,20 +147,26 @@
         now: Millis,
     ) -> Option<PoolChoice<'a>> {
         let bound = self.bound();
-        let (choice, bound_by, load_trial, of_target, of_current) = self.gw.with_rollouts(|r| {
-            let of_arm = |arm: Arm| -> Vec<&'a BackendServer> {
-                // A version that was rolled back has no arm, so that it is never taken instead.
-                let has_arm =
-                    |s: &&&BackendServer| r.arm_of(&self.service, &s.version) == Some(arm);
-                servers.iter().filter(has_arm).copied().collect()
-            };
-            let choice = r.arm(&self.service, bound, now);
-            let of_target = of_arm(Arm::Target);
-            let load_trial =
-                r.canary(&self.service).and_then(|canary| canary.load_trial(of_target.len(), now));
-            let bound_by = r.bound_by(bound, now);
-            (choice, bound_by, load_trial, of_target, of_arm(Arm::Current))
-        });
+        let (choice, bound_by, load_trial, of_target, of_current, of_last_resort) =
+            self.gw.with_rollouts(|r| {
+                let of_arm = |arm: Arm| -> Vec<&'a BackendServer> {
+                    // A version that was rolled back has no arm, so that it is never taken instead.
+                    let has_arm =
+                        |s: &&&BackendServer| r.arm_of(&self.service, &s.version) == Some(arm);
+                    servers.iter().filter(has_arm).copied().collect()
+                };
+                let choice = r.arm(&self.service, bound, now);
+                let of_target = of_arm(Arm::Target);
+                let load_trial = r
+                    .canary(&self.service)
+                    .and_then(|canary| canary.load_trial(of_target.len(), now));
+                let is_last_resort =
+                    |s: &&&BackendServer| r.is_last_resort(&self.service, &s.version);
+                let of_last_resort: Vec<_> =
+                    servers.iter().filter(is_last_resort).copied().collect();
+                let bound_by = r.bound_by(bound, now);
+                (choice, bound_by, load_trial, of_target, of_arm(Arm::Current), of_last_resort)
+            });
         let arm = match choice {
             ArmChoice::Arm(arm) => arm,
             ArmChoice::AskKeepers if self.keepers_answer.is_none() => {
@@ -170,6 +176,7 @@
         };
         let pool = |servers| self.split(servers, registry, now);
         let pool = match arm {
+            _ if of_target.is_empty() && of_current.is_empty() => pool(of_last_resort),
             Arm::Target if of_target.is_empty() => pool(of_current),
             Arm::Current if of_current.is_empty() => pool(of_target),
             Arm::Current => pool(of_current),
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -100,7 +100,7 @@
     }
 
     /// Returns how many gateways read together, this one included.
-    pub(crate) fn fleet(&self) -> usize {
+    pub fn fleet(&self) -> usize {
         self.servers.fleet()
     }
 
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -109,6 +109,7 @@
     target: String,
     elapsed_ms: u64,
     is_age_known: bool,
+    is_announced: bool,
     /// Route; counts of the target, and of the version in service.
     routes: Vec<(u32, [CountsWire; 2])>,
     sent: SentWire,
@@ -223,6 +224,7 @@
             target: news.target.to_string(),
             elapsed_ms: news.elapsed.0,
             is_age_known: news.is_age_known,
+            is_announced: news.is_announced,
             routes: news.routes.iter().map(|(route, e)| (*route, messages(e))).collect(),
             sent: news.sent.into(),
             is_rolled_back: news.is_rolled_back,
@@ -303,6 +305,7 @@
             target: message.target.parse()?,
             elapsed: Millis(message.elapsed_ms),
             is_age_known: message.is_age_known,
+            is_announced: message.is_announced,
             routes: message.routes.into_iter().map(|(route, n)| (route, evidence(n))).collect(),
             sent: message.sent.into(),
             is_rolled_back: message.is_rolled_back,
--- a/gateway/src/rollout_news.rs
+++ b/gateway/src/rollout_news.rs
@@ -15,6 +15,8 @@
     pub elapsed: Millis,
     /// Whether the sender, or one that told it, has seen the order come.
     pub is_age_known: bool,
+    /// Whether an operator has ordered it.
+    pub is_announced: bool,
     /// Its answers, by a hash of the route's name.
     pub routes: HashMap<u32, RouteEvidence>,
     /// What it has sent since the order.
--- a/gateway/src/rollout_turns.rs
+++ b/gateway/src/rollout_turns.rs
@@ -1,5 +1,7 @@
 //! What a gateway does about roll-outs, with a line in the log for each change.
 
+use std::collections::BTreeSet;
+
 use redwingfold_core::{Millis, OrderAge, Phase, RolloutOrder, ServiceName, VersionName};
 
 use crate::feeds::Feed;
@@ -40,6 +42,37 @@
         );
     }
 
+    /// Notes that all orders given before `began` are known here.
+    pub fn orders_known(&self, began: Millis) {
+        let begun = self.with_rollouts(|r| r.orders_known(began, self.now()));
+        for (service, version, seen) in begun {
+            self.telemetry().info(
+                "unannounced_trial",
+                &[
+                    ("service", &service),
+                    ("version", &version),
+                    ("seen_ms_ago", &self.now().since(seen)),
+                    ("orders_read_ms_ago", &self.now().since(began)),
+                ],
+            );
+        }
+    }
+
+    /// Takes which versions of a service the store says are in service.
+    pub fn take_versions(&self, service: &ServiceName, versions: BTreeSet<VersionName>) {
+        self.with_rollouts(|r| r.take_versions(service, versions));
+    }
+
+    /// Returns the versions of a service that are in service.
+    pub fn versions_in_service(&self, service: &ServiceName) -> BTreeSet<VersionName> {
+        self.with_rollouts(|r| r.versions_in_service(service))
+    }
+
+    /// Returns the services that have a version in service.
+    pub fn services_in_service(&self) -> Vec<ServiceName> {
+        self.with_rollouts(|r| r.services_in_service())
+    }
+
     /// Moves all roll-outs on.
     pub fn step_rollouts(&self) {
         for moved in self.with_rollouts(|r| r.step(self.now())) {
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -1,6 +1,6 @@
 //! Roll-outs as this gateway sees them, with what the others have told.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 use redwingfold_core::{
     AnswerSums, Arm, Canary, CanaryPolicy, Counts, Millis, MovedSessions, OrderAge, Phase,
@@ -19,6 +19,13 @@
 /// How long the others are told of an end: each of them hears of roll-outs once a second.
 const END_TOLD: Millis = Millis(5_000);
 
+/// Time for which a version that no order names gets nothing while others are left: its order may come that much later
+/// than its servers.
+const UNANNOUNCED_HOLD: Millis = Millis(10_000);
+
+/// Gateways that write that a version without an order has come into service, on average: all see it at the same time.
+const WRITERS: usize = 2;
+
 /// Time to the first byte beside the reading of the prompt: a few steps of a batch.
 const STEP: Millis = Millis(40);
 
@@ -34,7 +41,12 @@
     sighted: HashMap<VersionName, Millis>,
     /// Versions that were rolled back.
     withdrawn: HashSet<VersionName>,
+    /// Whether the store has said which versions are in service.
+    is_recorded: bool,
+    /// The last roll-out that an operator ordered.
     canary: Option<Canary>,
+    /// The trial of a version that no order names, begun after that roll-out ended.
+    unannounced: Option<Canary>,
     /// Orders that another one took the place of, and when.
     superseded: Vec<(RolloutOrder, Millis)>,
     ended_at: Option<Millis>,
@@ -51,6 +63,10 @@
     pub(crate) moved_sessions: MovedSessions,
     services: HashMap<ServiceName, ServiceVersions>,
     statuses: StatusBook,
+    /// Services of which this gateway should write which versions are in service.
+    unwritten: Vec<ServiceName>,
+    /// All orders given before then are known.
+    orders_as_of: Millis,
     /// Latest era of the store that is known.
     era: u64,
     /// Gateways that know of each other, this one included.
@@ -112,6 +128,8 @@
             moved_sessions: MovedSessions::new(session_keep),
             services: HashMap::new(),
             statuses: StatusBook::default(),
+            unwritten: Vec::new(),
+            orders_as_of: Millis(0),
             era: 0,
             fleet: 1,
             is_urgent: false,
@@ -146,13 +164,12 @@
         if copy == StoreCopy::Present {
             versions.superseded.extend(versions.canary.as_ref().map(|c| (c.order().clone(), now)));
         }
+        let tried = versions.unannounced.take().filter(|trial| trial.phase() < Phase::Done);
+        versions.sighted.extend(tried.map(|trial| (trial.order().target.clone(), now)));
         versions.sighted.remove(&order.target);
         versions.established.remove(&order.target);
         versions.withdrawn.remove(&order.target);
-        versions.routes.clear();
-        versions.others.clear();
-        versions.ended_at = None;
-        versions.canary = Some(Canary::new(self.policy, order, age, now, fastrand::u64(..)));
+        versions.begin(Canary::new(self.policy, order, age, now, fastrand::u64(..)));
         self.statuses.forget(service);
         true
     }
@@ -167,7 +184,7 @@
         now: Millis,
     ) {
         self.statuses.recorded(service, target, ended);
-        let canary = self.services.get(service).and_then(|v| v.canary.as_ref());
+        let canary = self.canary(service).filter(|c| c.is_announced());
         let is_same = canary.is_some_and(|c| c.order().target == *target);
         if let (true, Some(phase)) = (is_same, ended) {
             self.end(service, phase, now);
@@ -205,26 +222,36 @@
 
     fn end(&mut self, service: &ServiceName, phase: Phase, now: Millis) {
         let Some(versions) = self.services.get_mut(service) else { return };
-        let Some(canary) = &mut versions.canary else { return };
+        let has_ended = versions.ended_at.is_some();
+        let Some(canary) = versions.latest_mut() else { return };
+        // The word on an end comes again, and other versions may have come into service since.
+        let was_done = has_ended && canary.phase() == Phase::Done;
         canary.end(phase);
+        let (target, is_announced) = (canary.order().target.clone(), canary.is_announced());
         versions.ended_at.get_or_insert(now);
-        let target = canary.order().target.clone();
         match phase {
-            Phase::Done => {
+            Phase::Done if is_announced && !was_done => {
                 versions.established.clear();
                 versions.established.insert(target);
             }
+            Phase::Done if !is_announced => {
+                versions.established.insert(target);
+                versions.unannounced = None;
+                if fastrand::usize(..self.fleet.max(1)) < WRITERS {
+                    self.unwritten.push(service.clone());
+                }
+            }
             Phase::RolledBack => {
                 versions.withdrawn.insert(target);
             }
-            Phase::Trial | Phase::Ramp | Phase::Full => {}
+            Phase::Trial | Phase::Ramp | Phase::Full | Phase::Done => {}
         }
     }
 
     /// Takes a version that a backend server has registered with.
     ///
-    /// What the first list shows is in service, but for the target of an order: this process has
-    /// just started, and whatever it has not seen begin was there before it.
+    /// What the first list shows is in service, but for the target of an order, where the store has not said what is: this
+    /// process has just started, and whatever it has not seen begin was there before it.
     pub(crate) fn saw(
         &mut self,
         service: &ServiceName,
@@ -233,10 +260,10 @@
         now: Millis,
     ) {
         let versions = self.services.entry(service.clone()).or_default();
-        let is_target = versions.canary.as_ref().is_some_and(|c| c.order().target == *version);
+        let is_target = versions.latest().is_some_and(|c| c.order().target == *version);
         match versions {
             v if is_target || v.established.contains(version) || v.withdrawn.contains(version) => {}
-            v if is_first_list || v.established.is_empty() => {
+            v if (is_first_list && !v.is_recorded) || v.established.is_empty() => {
                 v.established.insert(version.clone());
             }
             v => {
@@ -245,26 +272,81 @@
         }
     }
 
-    /// Notes that all orders given before `began` are known here.
+    /// Notes that all orders given before `began` are known here; returns versions whose trial begins as none names them, and
+    /// when each was first seen.
     ///
-    /// Servers of a new version register before this gateway has read the order for it. Until then
-    /// they get nothing: a bad version would have all of the traffic for a second.
-    pub fn orders_known(&mut self, began: Millis) {
-        for versions in self.services.values_mut() {
-            let confirmed = |at: &Millis| *at <= began;
-            let known: Vec<_> =
-                versions.sighted.iter().filter(|(_, at)| confirmed(at)).collect::<Vec<_>>();
-            let known: Vec<_> = known.into_iter().map(|(version, _)| version.clone()).collect();
-            for version in known {
-                versions.sighted.remove(&version);
-                versions.established.insert(version);
+    /// Servers of a new version may register some time before the order for it is given. Until then they get nothing while
+    /// others are left: a bad version would have its part of the traffic at each gateway.
+    pub(crate) fn orders_known(
+        &mut self,
+        began: Millis,
+        now: Millis,
+    ) -> Vec<(ServiceName, VersionName, Millis)> {
+        self.orders_as_of = self.orders_as_of.max(began);
+        let mut begun = Vec::new();
+        for (service, versions) in &mut self.services {
+            let is_over = |c: &Canary| {
+                let is_written = !self.statuses.is_missing(service, &c.order().target, c.phase());
+                c.phase() >= Phase::Done && (is_written || !c.is_announced())
+            };
+            let is_told = versions.ended_at.is_none_or(|at| now.since(at) >= END_TOLD);
+            let is_due = |at: &Millis| at.after(UNANNOUNCED_HOLD) <= began;
+            let sighted = versions.sighted.iter().filter(|(_, at)| is_due(at));
+            let first =
+                sighted.min_by_key(|(_, at)| **at).map(|(version, at)| (version.clone(), *at));
+            match first {
+                Some((version, seen)) if is_told && versions.latest().is_none_or(is_over) => {
+                    versions.sighted.remove(&version);
+                    versions.begin(Canary::unannounced(
+                        self.policy,
+                        version.clone(),
+                        now,
+                        fastrand::u64(..),
+                    ));
+                    begun.push((service.clone(), version, seen));
+                }
+                _ => {}
             }
         }
+        begun
+    }
+
+    /// Takes which versions the store says are in service, before the first list of servers is known. Others on that list have
+    /// been seen to begin by other gateways only, and wait for an order or a trial.
+    pub(crate) fn take_versions(&mut self, service: &ServiceName, versions: BTreeSet<VersionName>) {
+        let known = self.services.entry(service.clone()).or_default();
+        let target = known.canary.as_ref().map(|c| &c.order().target);
+        known.established.extend(versions.into_iter().filter(|v| Some(v) != target));
+        known.is_recorded = true;
+    }
+
+    /// Returns the versions of a service that are in service.
+    pub(crate) fn versions_in_service(&self, service: &ServiceName) -> BTreeSet<VersionName> {
+        let versions = self.services.get(service).map(|v| &v.established);
+        versions.into_iter().flatten().cloned().collect()
+    }
+
+    /// Returns the services that have a version in service.
+    pub(crate) fn services_in_service(&self) -> Vec<ServiceName> {
+        let in_service = self.services.iter().filter(|(_, v)| !v.established.is_empty());
+        in_service.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Takes the services of which this gateway should write which versions are in service.
+    pub fn take_unwritten(&mut self) -> Vec<ServiceName> {
+        std::mem::take(&mut self.unwritten)
+    }
+
+    /// Says whether a version that no order names may serve where no other is left.
+    pub(crate) fn is_last_resort(&self, service: &ServiceName, version: &VersionName) -> bool {
+        let versions = self.services.get(service);
+        let seen = versions.and_then(|v| v.sighted.get(version));
+        seen.is_some_and(|at| *at <= self.orders_as_of)
     }
 
     /// Returns the roll-out of a service that is under way, or the last one.
     pub(crate) fn canary(&self, service: &ServiceName) -> Option<&Canary> {
-        self.services.get(service)?.canary.as_ref()
+        self.services.get(service)?.latest()
     }
 
     /// Returns whether the session of a request that was sent to a version has moved with it. Others need not know once
@@ -277,7 +359,7 @@
     ) -> bool {
         let Some(versions) = self.services.get(service) else { return false };
         let is_recent = versions.ended_at.is_none_or(|at| now.since(at) < END_TOLD);
-        versions.canary.as_ref().is_some_and(|c| {
+        versions.latest().is_some_and(|c| {
             c.order().target == *version && c.phase() != Phase::RolledBack && is_recent
         })
     }
@@ -285,7 +367,7 @@
     /// Says to which arm a version belongs; `None` if it may not be used.
     pub(crate) fn arm_of(&self, service: &ServiceName, version: &VersionName) -> Option<Arm> {
         let versions = self.services.get(service)?;
-        match &versions.canary {
+        match versions.latest() {
             Some(c) if c.order().target == *version => match c.phase() {
                 Phase::RolledBack => None,
                 _ => Some(Arm::Target),
@@ -306,7 +388,7 @@
         now: Millis,
     ) -> Option<Arm> {
         let arm = self.arm_of(service, version)?;
-        let canary = self.services.get_mut(service).and_then(|v| v.canary.as_mut());
+        let canary = self.services.get_mut(service).and_then(ServiceVersions::latest_mut);
         Some(canary.map_or(arm, |canary| canary.sent(reached, arm, now)))
     }
 
@@ -328,7 +410,7 @@
         if let (Some(Arm::Current), Some(time)) = (arm, time) {
             usual.learn(time, seen.load);
         }
-        if versions.canary.as_ref().is_none_or(|canary| canary.phase() == Phase::Done) {
+        if versions.latest().is_none_or(|canary| canary.phase() == Phase::Done) {
             return;
         }
         let evidence = versions.routes.entry(route).or_default();
@@ -358,7 +440,7 @@
     /// Returns what the other gateways should know of the roll-outs under way.
     pub fn news(&self, now: Millis) -> Vec<RolloutNews> {
         let news = |(service, v): (&ServiceName, &ServiceVersions)| {
-            let canary = v.canary.as_ref()?;
+            let canary = v.latest()?;
             let is_recent = v.ended_at.is_none_or(|at| now.since(at) < END_TOLD);
             let is_told = match canary.phase() {
                 Phase::Trial | Phase::Ramp | Phase::Full => true,
@@ -381,6 +463,7 @@
                 target: canary.order().target.clone(),
                 elapsed: canary.elapsed(now),
                 is_age_known: canary.is_age_known(),
+                is_announced: canary.is_announced(),
                 routes: v.routes.clone(),
                 sent: canary.counts(now),
                 is_rolled_back: canary.phase() == Phase::RolledBack,
@@ -397,8 +480,9 @@
     /// others heed it at once: with counts alone, one of three rolled back and two went on to done.
     pub fn hear(&mut self, from: &str, news: RolloutNews, now: Millis) -> bool {
         let Some(versions) = self.services.get_mut(&news.service) else { return false };
-        let Some(canary) = &mut versions.canary else { return false };
-        if canary.order().target != news.target {
+        let Some(canary) = versions.latest_mut() else { return false };
+        // The trial of a version that no order named yet is older than its order.
+        if canary.order().target != news.target || canary.is_announced() != news.is_announced {
             return false;
         }
         canary.is_older(news.elapsed, news.is_age_known, now);
@@ -437,7 +521,7 @@
         let mut moved = Vec::new();
         for (service, versions) in &mut self.services {
             let shared = versions.shared(now);
-            let Some(canary) = &mut versions.canary else { continue };
+            let Some(canary) = versions.latest_mut() else { continue };
             let before = canary.phase();
             let phase = canary.step(&shared, now);
             if phase != before {
@@ -445,9 +529,16 @@
                 moved.push(Moved { service, target, phase, shared });
             }
         }
-        for moved in moved.iter().filter(|moved| moved.phase == Phase::RolledBack) {
-            self.end(&moved.service, moved.phase, now);
-            self.is_urgent = true;
+        for moved in &moved {
+            let is_announced = self.canary(&moved.service).is_some_and(Canary::is_announced);
+            match moved.phase {
+                Phase::RolledBack => {
+                    self.end(&moved.service, moved.phase, now);
+                    self.is_urgent = true;
+                }
+                Phase::Done if !is_announced => self.end(&moved.service, moved.phase, now),
+                _ => {}
+            }
         }
         moved
     }
@@ -470,6 +561,7 @@
     /// Says whether no roll-out is under way, and the store lacks no word on any.
     pub fn is_idle(&self) -> bool {
         self.services.iter().all(|(service, v)| match &v.canary {
+            _ if v.unannounced.as_ref().is_some_and(|c| c.phase() < Phase::Done) => false,
             None => true,
             Some(c) if c.phase() < Phase::Done => false,
             Some(c) => !self.statuses.is_missing(service, &c.order().target, c.phase()),
@@ -478,9 +570,27 @@
 }
 
 impl ServiceVersions {
+    /// Returns the roll-out or trial that began last.
+    fn latest(&self) -> Option<&Canary> {
+        self.unannounced.as_ref().or(self.canary.as_ref())
+    }
+
+    fn latest_mut(&mut self) -> Option<&mut Canary> {
+        self.unannounced.as_mut().or(self.canary.as_mut())
+    }
+
+    /// Begins a roll-out or a trial, of which nothing is known yet.
+    fn begin(&mut self, canary: Canary) {
+        self.routes.clear();
+        self.others.clear();
+        self.ended_at = None;
+        let place = if canary.is_announced() { &mut self.canary } else { &mut self.unannounced };
+        *place = Some(canary);
+    }
+
     fn shared(&self, now: Millis) -> Shared {
         let mut routes = self.routes.clone();
-        let mut sent = self.canary.as_ref().map_or_else(Sent::default, |c| c.counts(now));
+        let mut sent = self.latest().map_or_else(Sent::default, |c| c.counts(now));
         for (news, at) in self.others.values() {
             for (route, evidence) in &news.routes {
                 let sum = routes.entry(*route).or_default();
