fix(core): compare a version with what answers take at the moment

What callers saw: a good version is rolled back as slow where a burst begins with its full traffic, and the roll-out has to be ordered again.

Cause, by the logs of rolled-back runs: the version is compared with the mean of the answers before. In the second of the verdict the version in service had 41 answers more, 7.9 times as long as usual, worked out from the sums of two lines (current_good 461 to 502, current_begin 0.95 to 1.13), and the target's 16 were 4.2 times as long: both were late, from the same moment on.

Change: each gateway knows how many times the usual time the answers of the version in service take at the moment, and a target's time is divided by that. A time of a target whose servers run less than the mean is compared with the usual time at the mean.

It is not mended: where all requests go to the target, no answer of the other version says that all are late.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -73,4 +73,4 @@
 pub use turns::SendTurns;
 pub use unreached::Unreached;
 pub use urgency::UrgencyPolicy;
-pub use usual_time::UsualTime;
+pub use usual_time::{PresentTime, UsualTime};
--- a/core/src/serving/usual_time.rs
+++ b/core/src/serving/usual_time.rs
@@ -1,4 +1,6 @@
-//! The usual time of an answer of the version in service, by the load of its server.
+//! The usual time of an answer of the version in service, by the load of its server, and what it takes at the moment.
+
+use crate::ids::Millis;
 
 /// Weight of the newest time.
 const NEWEST: f64 = 0.03;
@@ -47,6 +49,12 @@
         (self.times >= MIN_TIMES).then(|| time / self.at(load).exp())
     }
 
+    /// Returns how many times the usual one a time of another version is. At a load below the mean it is compared with the
+    /// usual time at the mean: a slope that chance makes would let a version on idle servers look slow.
+    pub fn ratio_of_other(&self, time: f64, load: f64) -> Option<f64> {
+        self.ratio(time, load.max(self.load))
+    }
+
     /// Takes a time of the version in service, of any unit, at a load.
     pub fn learn(&mut self, time: f64, load: f64) {
         self.times = self.times.saturating_add(1);
@@ -66,3 +74,44 @@
         self.log + slope * (load.min(known) - self.load) + beyond
     }
 }
+
+/// How many times the usual time answers of the version in service take at the moment.
+///
+/// Other versions are compared with that. All answers of a burst, or of a gateway that has little processor time, are late; a
+/// good version that gets most of its requests just then looked several times as slow as the one in service, whose answers
+/// are mostly of before. Where the version in service gets no requests any longer, its last answers count.
+///
+/// ```
+/// use redwingfold_core::{Millis, PresentTime};
+/// let mut present = PresentTime::default();
+/// (0..20).for_each(|n| present.learn(1.0, Millis(n * 100)));
+/// (20..30).for_each(|n| present.learn(4.0, Millis(n * 100)));
+/// assert!(present.factor() > 3.0);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct PresentTime {
+    log: f64,
+    weight: f64,
+    at: Millis,
+}
+
+/// Time after which an answer counts half.
+const HALF_LIFE: Millis = Millis(300);
+
+/// Weight of the answers below which they say nothing.
+const MIN_WEIGHT: f64 = 2.0;
+
+impl PresentTime {
+    /// Takes how many times the usual one a time of the version in service is.
+    pub fn learn(&mut self, ratio: f64, now: Millis) {
+        let age = now.since(self.at).0 as f64 / HALF_LIFE.0 as f64;
+        self.weight = self.weight * 0.5_f64.powf(age) + 1.0;
+        self.log += (ratio.max(MIN_TIME).ln() - self.log) / self.weight;
+        self.at = now;
+    }
+
+    /// Returns how many times the usual one a time is now; 1 if answers take no longer than usual, or few are known.
+    pub fn factor(&self) -> f64 {
+        if self.weight < MIN_WEIGHT { 1.0 } else { self.log.exp().max(1.0) }
+    }
+}
--- a/core/tests/load_trial.rs
+++ b/core/tests/load_trial.rs
@@ -169,7 +169,10 @@
                 None => one.failed = 1,
                 Some((time, load)) => {
                     one.good = 1;
-                    let ratio = self.usual.ratio(time, load);
+                    let ratio = match arm {
+                        Arm::Current => self.usual.ratio(time, load),
+                        Arm::Target => self.usual.ratio_of_other(time, load),
+                    };
                     ratio.into_iter().for_each(|ratio| one.begin.add(ratio));
                     if arm == Arm::Current {
                         self.usual.learn(time, load);
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -298,7 +298,7 @@
             is_first_half: is_in_first_half(&begun.server.id),
             sight,
         };
-        self.gw.with_rollouts(|r| r.saw_answer(&seen));
+        self.gw.with_rollouts(|r| r.saw_answer(&seen, self.gw.now()));
     }
 
     /// Reads a whole answer and passes it on; one that breaks is had again elsewhere if it may.
--- a/gateway/src/restored_rollouts_tests.rs
+++ b/gateway/src/restored_rollouts_tests.rs
@@ -244,7 +244,7 @@
                 is_first_half: false,
                 sight,
             };
-            gateway.rollouts.saw_answer(&seen);
+            gateway.rollouts.saw_answer(&seen, Millis(ms));
             gateway.rollouts.sent(&service, &version, None, Millis(ms));
         }
     }
--- a/gateway/src/rollouts.rs
+++ b/gateway/src/rollouts.rs
@@ -4,8 +4,8 @@
 
 use redwingfold_core::{
     AnswerSums, Arm, Canary, CanaryPolicy, Counts, Millis, MovedSessions, OrderAge, Phase,
-    RolloutOrder, RouteEvidence, RouteName, Sent, ServiceName, Shared, StatusBook, UsualTime,
-    VersionName,
+    PresentTime, RolloutOrder, RouteEvidence, RouteName, Sent, ServiceName, Shared, StatusBook,
+    UsualTime, VersionName,
 };
 
 use xxhash_rust::xxh3::xxh3_64;
@@ -53,6 +53,8 @@
     routes: HashMap<u32, RouteEvidence>,
     others: HashMap<String, (RolloutNews, Millis)>,
     usual: HashMap<(u32, usize, bool), UsualTime>,
+    /// Times of the version in service at the moment, and pauses between its events.
+    present: [PresentTime; 2],
 }
 
 /// The versions of all services, and their roll-outs.
@@ -393,7 +395,7 @@
     }
 
     /// Counts an answer for its version.
-    pub(crate) fn saw_answer(&mut self, seen: &Seen<'_>) {
+    pub(crate) fn saw_answer(&mut self, seen: &Seen<'_>, now: Millis) {
         let arm = self.arm_of(seen.service, seen.version);
         let Some(versions) = self.services.get_mut(seen.service) else { return };
         let route = xxh3_64(seen.route.as_str().as_bytes()) as u32;
@@ -406,10 +408,18 @@
         };
         let is_pace = matches!(seen.sight, Sight::Pace(_));
         let usual = versions.usual.entry((route, seen.size, is_pace)).or_default();
-        let ratio = time.and_then(|time| usual.ratio(time, seen.load));
+        let ratio = time.and_then(|time| match arm {
+            Some(Arm::Current) => usual.ratio(time, seen.load),
+            Some(Arm::Target) | None => usual.ratio_of_other(time, seen.load),
+        });
         if let (Some(Arm::Current), Some(time)) = (arm, time) {
             usual.learn(time, seen.load);
         }
+        let present = &mut versions.present[usize::from(is_pace)];
+        let ratio = match arm {
+            Some(Arm::Current) => ratio.inspect(|ratio| present.learn(*ratio, now)),
+            Some(Arm::Target) | None => ratio.map(|ratio| ratio / present.factor()),
+        };
         if versions.latest().is_none_or(|canary| canary.phase() == Phase::Done) {
             return;
         }
