fix(gateway): write a status again that a superseded order's has replaced

What callers saw: after the store was restored from an older copy, the operator reads for good that the older rollout runs, and not that the newer one is done, though all gateways have finished it. The operator waits for the end, and a gateway that starts later rolls the version out once more.

Milliseconds: 29250 gateway 19 starts, and reads the order for v3 alone 29950 the store is restored from a copy of 27650: order v2, status "v2 done"; era 4 31850 gateway 19 takes the order for v2 from the copy; all others know it to be superseded 32050 gateway 0 writes "v3 done" again; the others believe it, by its report 34100 gateway 19, which has just read "v3 done", writes "v2 running" over it 35300 it reads the order for v3 again, and forgets what it has itself written 35400 a report of another gateway still says "v3 done"; gateway 19 believes it From then on all 24 hold "v3 done" for stored. A report of another order's status was dropped, and a belief in a stored status had no time: nothing could show that it was older than the write. Nobody reads the topic again, as nothing is due. Ruled out: that the end was lost with the copy (it was written again at 32050), that the condition of a write failed to hold (gateway 19 had read the record that it replaced), that the order was refused (it is taken at 35300).

Change: what a gateway knows of the stored status is kept beside its order and outlives it, with the time at which the store held it. Reports carry that age, and one of another order counts as well. A report from before what the gateway has itself read or written does not cancel a write; a later one that shows another order's status makes the write due again. Who writes again: gateways that know the other order to be superseded, as often as it takes; all others write each status once, so that gateways with different orders do not overwrite each other for ever.

Why it holds: the gateway that overwrites knows of it, and cannot be talked out of it; all that hear of it write again, the first one by the random wait that all writes have; one that starts reads the record before it believes reports.

The log line status_written says which order's status it replaces. core/tests/status.rs passes the time of each status and merges reports as reports; its checks are as they were.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -69,7 +69,7 @@
 pub use sessions::{MovedSessions, SessionKey};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
 pub use sizes::{ConfidenceGains, LargerModel, Pressure, SizePolicy};
-pub use status::RolloutStatuses;
+pub use status::{KnownStatus, RolloutStatuses};
 pub use stream_time::StreamTimes;
 pub use turns::SendTurns;
 pub use unreachable::UnreachableServers;
--- a/core/tests/status.rs
+++ b/core/tests/status.rs
@@ -1,6 +1,6 @@
 //! The status of a rollout in the store, written by one of many gateways.
 
-use redwingfold_core::{Millis, Phase, RolloutStatuses, ServiceName, VersionName};
+use redwingfold_core::{KnownStatus, Millis, Phase, RolloutStatuses, ServiceName, VersionName};
 
 /// Time when the first gateway detects the end of the rollout; the others do so up to a second later.
 const ENDS_AT_MS: u64 = 5_000;
@@ -45,6 +45,10 @@
     ("slips".into(), "v2".parse().expect("a version"))
 }
 
+fn status(target: &VersionName, ended: Option<Phase>, ms: u64) -> KnownStatus {
+    KnownStatus { target: target.clone(), ended, as_of: Millis(ms), is_superseded: false }
+}
+
 fn simulate(n: usize, faults: Faults, seed: u64) -> Outcome {
     let mut rng = fastrand::Rng::with_seed(seed);
     let (service, target) = names();
@@ -106,7 +110,7 @@
     }
     let at = outcome.records.len();
     if let Some(last) = outcome.records.last() {
-        gw.statuses.record(&service, &target, *last);
+        gw.statuses.record(&service, status(&target, *last, ms));
     }
     if gw.statuses.is_unrecorded(&service, &target, phase) {
         outcome.calls += 1;
@@ -129,7 +133,7 @@
     }
     outcome.records.push(status);
     if rng.f64() >= faults.lost_answers {
-        gw.statuses.record(&service, &target, status);
+        gw.statuses.record(&service, self::status(&target, status, ms));
     }
 }
 
@@ -147,12 +151,13 @@
         return;
     }
     let ended = sender.outcome(&service, &target);
+    let known = sender.known(&service).expect("a status").clone();
     for other in gateways.iter_mut().filter(|other| other.frozen_until <= ms) {
         let knows = other.statuses.outcome(&service, &target).is_some();
         let is_new =
             ended.is_some() || other.statuses.is_unrecorded(&service, &target, Phase::Trial);
         if !knows && is_new && rng.f64() >= faults.lost_messages {
-            other.statuses.record(&service, &target, ended);
+            other.statuses.merge_report(&service, known.clone());
         }
     }
 }
@@ -223,7 +228,7 @@
         for ms in 0..400 {
             for g in 0..GATEWAYS {
                 if sent_at.is_some_and(|at| ms >= at) && rng.f64() > 0.02 {
-                    tables[g].record(&service, &target, Some(Phase::Done));
+                    tables[g].merge_report(&service, status(&target, Some(Phase::Done), ms));
                 }
                 if ms < sees[g] {
                     continue;
@@ -249,3 +254,91 @@
         assert!(sent_at.is_some() && calls <= 2 * GATEWAYS / 5, "{seed}: {calls} calls");
     }
 }
+
+fn of_version(version: &str, ended: Option<Phase>, ms: u64) -> KnownStatus {
+    status(&version.parse().expect("a version"), ended, ms)
+}
+
+/// A gateway that carries out the order for `target`.
+fn with_order(target: &str) -> (RolloutStatuses, ServiceName, VersionName) {
+    let (service, _) = names();
+    let target = target.parse().expect("a version");
+    let mut statuses = RolloutStatuses::default();
+    statuses.begin(&service, &target, false);
+    (statuses, service, target)
+}
+
+/// Guards against a gateway that has overwritten the end of a newer rollout, and takes the reports of others for it still
+/// being stored.
+#[test]
+fn report_from_before_the_own_write_does_not_count() {
+    let (mut statuses, service, target) = with_order("v2");
+    statuses.record(&service, of_version("v2", None, 10_000));
+    let newer = "v3".parse().expect("a version");
+    statuses.begin(&service, &newer, false);
+    for ms in [8_000, 10_000, 12_000] {
+        assert!(!statuses.merge_report(&service, of_version("v3", Some(Phase::Done), ms)));
+        assert!(statuses.is_unrecorded(&service, &newer, Phase::Done), "as of {ms} ms");
+    }
+    assert!(statuses.merge_report(&service, of_version("v3", Some(Phase::Done), 14_000)));
+    assert!(!statuses.is_unrecorded(&service, &newer, Phase::Done));
+    assert_eq!(statuses.outcome(&service, &target), None);
+}
+
+/// Guards against an end that nobody writes again after the status of a superseded order has replaced it.
+#[test]
+fn overwritten_status_is_due_where_the_other_order_is_superseded() {
+    let (mut statuses, service, target) = with_order("v3");
+    statuses.record(&service, of_version("v3", Some(Phase::Done), 10_000));
+    assert!(!statuses.is_unrecorded(&service, &target, Phase::Done));
+    let before = KnownStatus { is_superseded: true, ..of_version("v2", None, 9_000) };
+    assert!(!statuses.merge_report(&service, before));
+    for (as_of, end) in [(10_050, 10_200), (10_300, 10_400)] {
+        let overwriting = KnownStatus { is_superseded: true, ..of_version("v2", None, as_of) };
+        assert!(statuses.merge_report(&service, overwriting));
+        assert!(statuses.is_unrecorded(&service, &target, Phase::Done));
+        let due = statuses.write_due_in(&service, &target, Phase::Done, 1, Millis(as_of), u64::MAX);
+        assert_eq!(due, Some(Millis(150)));
+        statuses.record(&service, of_version("v3", Some(Phase::Done), end));
+        assert!(!statuses.is_unrecorded(&service, &target, Phase::Done));
+    }
+}
+
+/// Guards against gateways with different orders that overwrite each other's statuses until the operator writes the order
+/// again: one that does not know the other order to be superseded writes each status once.
+#[test]
+fn status_is_not_written_again_over_that_of_an_unknown_order() {
+    let (mut statuses, service, target) = with_order("v2");
+    let newer = |ms| of_version("v3", Some(Phase::Done), ms);
+    statuses.record(&service, newer(1_000));
+    assert!(statuses.is_unrecorded(&service, &target, Phase::Trial));
+    statuses.record(&service, of_version("v2", None, 2_000));
+    statuses.record(&service, newer(2_100));
+    assert!(!statuses.is_unrecorded(&service, &target, Phase::Trial));
+    assert!(statuses.is_unrecorded(&service, &target, Phase::Done));
+    statuses.record(&service, of_version("v2", Some(Phase::Done), 9_000));
+    statuses.record(&service, newer(9_100));
+    assert!(!statuses.is_unrecorded(&service, &target, Phase::Done));
+    statuses.invalidate(Millis(20_000));
+    assert!(statuses.is_unrecorded(&service, &target, Phase::Trial));
+}
+
+/// Guards against the end of an earlier order for the same version that is taken for the end of the new one.
+#[test]
+fn status_of_an_earlier_order_for_the_same_version_does_not_count() {
+    let (mut statuses, service, target) = with_order("v2");
+    statuses.record(&service, of_version("v2", Some(Phase::RolledBack), 1_000));
+    statuses.begin(&service, &target, true);
+    assert_eq!(statuses.outcome(&service, &target), None);
+    assert!(statuses.is_unrecorded(&service, &target, Phase::Trial));
+}
+
+/// Guards against a report of a running rollout that arrives after its end, and makes all gateways read the status again.
+#[test]
+fn late_report_of_a_running_rollout_does_not_hide_its_end() {
+    let (mut statuses, service, target) = with_order("v2");
+    statuses.merge_report(&service, of_version("v2", None, 1_000));
+    assert!(statuses.merge_report(&service, of_version("v2", Some(Phase::RolledBack), 2_000)));
+    assert!(!statuses.merge_report(&service, of_version("v2", None, 2_500)));
+    assert_eq!(statuses.outcome(&service, &target), Some(Phase::RolledBack));
+}
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -115,6 +115,7 @@
     sent: SentWire,
     is_rolled_back: bool,
     stored_status: StoredStatusWire,
+    status_age_ms: u64,
     store_era: u64,
 }
 
@@ -229,6 +230,7 @@
             sent: report.sent.into(),
             is_rolled_back: report.is_rolled_back,
             stored_status: report.stored_status.into(),
+            status_age_ms: report.status_age.0,
             store_era: report.store_era,
         }
     }
@@ -319,6 +321,7 @@
             sent: message.sent.into(),
             is_rolled_back: message.is_rolled_back,
             stored_status: message.stored_status.into(),
+            status_age: Millis(message.status_age_ms),
             store_era: message.store_era,
         })
     }
--- a/gateway/src/rollout_control.rs
+++ b/gateway/src/rollout_control.rs
@@ -6,7 +6,7 @@
 
 use crate::feeds::Feed;
 use crate::gateway::{Gateway, StoreCopy};
-use crate::rollouts::PhaseChange;
+use crate::rollouts::{DueStatus, PhaseChange};
 
 fn phase_name(phase: Phase) -> String {
     format!("{phase:?}").to_lowercase()
@@ -81,13 +81,20 @@
         }
     }
 
-    /// Records that this gateway has written the status of a rollout in a phase.
-    pub fn record_written_status(&self, service: &ServiceName, target: &VersionName, phase: Phase) {
+    /// Records that this gateway has written the status of a rollout.
+    pub fn record_written_status(&self, status: &DueStatus) {
+        let DueStatus { service, target, phase, replaced } = status;
+        let replaced = replaced.as_ref().map_or("none".into(), ToString::to_string);
         self.telemetry().info(
             "status_written",
-            &[("service", service), ("target", target), ("phase", &phase_name(phase))],
+            &[
+                ("service", service),
+                ("target", target),
+                ("phase", &phase_name(*phase)),
+                ("replaced", &replaced),
+            ],
         );
-        let ended = (phase >= Phase::Done).then_some(phase);
+        let ended = (*phase >= Phase::Done).then_some(*phase);
         self.with_rollouts(|r| r.record_written_status(service, target, ended, self.now()));
         self.gossip_due.notify(usize::MAX);
     }
--- a/gateway/src/rollout_report.rs
+++ b/gateway/src/rollout_report.rs
@@ -26,6 +26,8 @@
     pub is_rolled_back: bool,
     /// The status in the store, as last read by the sender or reported to it.
     pub stored_status: StoredStatus,
+    /// Time since the store held that status.
+    pub status_age: Millis,
     /// Era of the store: how often it had been restored from an older copy.
     pub store_era: u64,
 }
--- a/gateway/src/rollouts/evidence.rs
+++ b/gateway/src/rollouts/evidence.rs
@@ -115,13 +115,13 @@
                 return None;
             }
             let target = &canary.order().target;
-            let stored_status = match self.statuses.outcome(service, target) {
-                Some(phase) => StoredStatus::Ended(phase),
-                None if self.statuses.is_unrecorded(service, target, Phase::Trial) => {
-                    StoredStatus::Unknown
-                }
-                None => StoredStatus::Running,
+            let known = self.statuses.known(service).filter(|known| known.target == *target);
+            let stored_status = match known.map(|known| known.ended) {
+                Some(Some(phase)) => StoredStatus::Ended(phase),
+                Some(None) => StoredStatus::Running,
+                None => StoredStatus::Unknown,
             };
+            let status_age = known.map_or(Millis(0), |known| now.since(known.as_of));
             Some(RolloutReport {
                 service: service.clone(),
                 target: canary.order().target.clone(),
@@ -132,6 +132,7 @@
                 sent: canary.counts(now),
                 is_rolled_back: canary.phase() == Phase::RolledBack,
                 stored_status,
+                status_age,
                 store_era: self.store_era,
             })
         };
@@ -144,6 +145,7 @@
     /// others follow its decision at once. Deciding on counts alone, one of three gateways rolled back while two
     /// completed the rollout.
     pub fn merge_report(&mut self, from: &str, report: RolloutReport, now: Millis) -> bool {
+        self.merge_stored_status(&report, now);
         let Some(versions) = self.services.get_mut(&report.service) else { return false };
         let Some(canary) = versions.latest_mut() else { return false };
         // A trial that began before the order for its version does not count for the rollout of that order.
@@ -152,10 +154,8 @@
         }
         canary.merge_age(report.elapsed, report.is_age_known, now);
         let is_newly_rolled_back = report.is_rolled_back && canary.phase() < Phase::Done;
-        let (service, target, stored_status) =
-            (report.service.clone(), report.target.clone(), report.stored_status);
-        // A gateway without a connection to the store may not have noticed yet that the store was restored.
-        let may_be_outdated = report.store_era < self.store_era || self.statuses.is_unreliable(now);
+        let (service, stored_status) = (report.service.clone(), report.stored_status);
+        let is_announced = report.is_announced;
         match versions.peer_reports.get_mut(from) {
             Some((merged, at)) => {
                 merged.merge(report);
@@ -168,20 +168,30 @@
         if is_newly_rolled_back {
             self.end_rollout(&service, Phase::RolledBack, now);
         }
+        // An end is final, also if it is missing in the store since.
         match stored_status {
-            // Other gateways may report a status from before the store was restored from an older copy.
-            StoredStatus::Ended(phase) if may_be_outdated => self.end_rollout(&service, phase, now),
-            _ if may_be_outdated => {}
-            StoredStatus::Ended(phase) => self.record_status(&service, &target, Some(phase), now),
-            StoredStatus::Running
-                if self.statuses.is_unrecorded(&service, &target, Phase::Trial) =>
-            {
-                self.record_status(&service, &target, None, now);
-            }
-            StoredStatus::Running | StoredStatus::Unknown => {}
+            StoredStatus::Ended(phase) if is_announced => self.end_rollout(&service, phase, now),
+            _ => {}
         }
         is_newly_rolled_back
     }
+
+    /// Merges the status that the store holds by another gateway's report, also if it is that of another order.
+    fn merge_stored_status(&mut self, report: &RolloutReport, now: Millis) {
+        let ended = match report.stored_status {
+            StoredStatus::Unknown => return,
+            _ if !report.is_announced => return,
+            StoredStatus::Running => None,
+            StoredStatus::Ended(phase) => Some(phase),
+        };
+        // A gateway without a connection to the store may not have noticed yet that the store was restored.
+        if report.store_era < self.store_era || self.statuses.is_unreliable(now) {
+            return;
+        }
+        let as_of = Millis(now.0.saturating_sub(report.status_age.0));
+        let status = self.known_status(&report.service, &report.target, ended, as_of, now);
+        self.statuses.merge_report(&report.service, status);
+    }
 }
 
 impl ServiceVersions {
--- a/gateway/src/rollouts/mod.rs
+++ b/gateway/src/rollouts/mod.rs
@@ -3,9 +3,9 @@
 use std::collections::{HashMap, HashSet};
 
 use redwingfold_core::{
-    Arm, BaselineLatency, Canary, CanaryPolicy, CurrentSlowdown, FleetEvidence, Millis,
-    MovedSessions, OrderAge, Phase, RolloutOrder, RolloutStatuses, RouteEvidence, ServiceName,
-    VersionName,
+    Arm, BaselineLatency, Canary, CanaryPolicy, CurrentSlowdown, FleetEvidence, KnownStatus,
+    Millis, MovedSessions, OrderAge, Phase, RolloutOrder, RolloutStatuses, RouteEvidence,
+    ServiceName, VersionName,
 };
 
 use crate::gateway::StoreCopy;
@@ -89,6 +89,8 @@
     pub target: VersionName,
     /// Phase of the rollout.
     pub phase: Phase,
+    /// The version of another order whose status the store holds instead.
+    pub replaced: Option<VersionName>,
 }
 
 /// A rollout's change of phase, and the evidence for it.
@@ -154,8 +156,14 @@
         versions.unannounced_since.remove(&order.target);
         versions.in_service.remove(&order.target);
         versions.rolled_back.remove(&order.target);
+        let is_repeated =
+            versions.canary.as_ref().is_some_and(|c| c.order().target == order.target);
+        self.statuses.begin(service, &order.target, is_repeated);
+        let outcome = self.statuses.outcome(service, &order.target);
         versions.start(Canary::new(self.policy, order, age, now, fastrand::u64(..)));
-        self.statuses.forget(service);
+        if let Some(phase) = outcome {
+            self.end_rollout(service, phase, now);
+        }
         true
     }
 
@@ -168,7 +176,8 @@
         ended: Option<Phase>,
         now: Millis,
     ) {
-        self.statuses.record(service, target, ended);
+        let status = self.known_status(service, target, ended, now, now);
+        self.statuses.record(service, status);
         let canary = self.canary(service).filter(|c| c.is_announced());
         let is_same = canary.is_some_and(|c| c.order().target == *target);
         if let (true, Some(phase)) = (is_same, ended) {
@@ -176,6 +185,20 @@
         }
     }
 
+    fn known_status(
+        &self,
+        service: &ServiceName,
+        target: &VersionName,
+        ended: Option<Phase>,
+        as_of: Millis,
+        now: Millis,
+    ) -> KnownStatus {
+        let orders = self.services.get(service).into_iter().flat_map(|v| &v.superseded);
+        let mut recent = orders.filter(|(_, at)| now.since(*at) < SUPERSEDED_RETENTION);
+        let is_superseded = recent.any(|(order, _)| order.target == *target);
+        KnownStatus { target: target.clone(), ended, as_of, is_superseded }
+    }
+
     /// Sets the store's era, from its first response.
     pub(crate) fn set_store_era(&mut self, era: u64) {
         self.store_era = era;
@@ -304,8 +327,10 @@
             let (target, phase) = (&canary.order().target, canary.phase());
             let draw = fastrand::u64(..);
             let due = statuses.write_due_in(service, target, phase, fleet, now, draw)?;
+            let known = statuses.known(service).map(|known| known.target.clone());
+            let replaced = known.filter(|known| known != target);
             let (service, target) = (service.clone(), target.clone());
-            Some((due, DueStatus { service, target, phase }))
+            Some((due, DueStatus { service, target, phase, replaced }))
         });
         due.min_by_key(|(due, _)| *due)
     }
