fix(gateway): do not pass on a status of an earlier era as one of the present

What callers saw: after a restore the end of a rollout is missing in the store for good; the operator waits for it.

Cause: a gateway that starts knows no era until its first response of the store, and took 0 for it. So it believed a report of the era before the restore, learned the present era, and reported that status as one of the present, which the others then believed.

Those three seconds hide it from most gateways, but not from one that hears the report later: status_of_an_earlier_era_is_not_passed_on_as_one_of_the_present failed before.

Change: the era is unknown until the first response; a gateway without one reports no status, and a status counts only where both gateways know the same era.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -34,6 +34,8 @@
 mod rollout_choice;
 mod rollout_control;
 mod rollout_report;
+#[cfg(test)]
+mod rollout_status_tests;
 mod rollouts;
 mod serve;
 mod server_choice;
--- a/gateway/src/rollouts/evidence.rs
+++ b/gateway/src/rollouts/evidence.rs
@@ -115,7 +115,8 @@
                 return None;
             }
             let target = &canary.order().target;
-            let known = self.statuses.known(service).filter(|known| known.target == *target);
+            let known = self.statuses.known(service);
+            let known = known.filter(|known| known.target == *target && self.store_era.is_some());
             let stored_status = match known.map(|known| known.ended) {
                 Some(Some(phase)) => StoredStatus::Ended(phase),
                 Some(None) => StoredStatus::Running,
@@ -133,7 +134,7 @@
                 is_rolled_back: canary.phase() == Phase::RolledBack,
                 stored_status,
                 status_age,
-                store_era: self.store_era,
+                store_era: self.store_era.unwrap_or_default(),
             })
         };
         self.services.iter().filter_map(report).collect()
@@ -184,8 +185,8 @@
             StoredStatus::Running => None,
             StoredStatus::Ended(phase) => Some(phase),
         };
-        // A gateway without a connection to the store may not have noticed yet that the store was restored.
-        if report.store_era < self.store_era || self.statuses.is_unreliable(now) {
+        // One of the gateways may not have noticed yet that the store was restored, or not have reached the store at all.
+        if self.store_era != Some(report.store_era) || self.statuses.is_unreliable(now) {
             return;
         }
         let as_of = Millis(now.0.saturating_sub(report.status_age.0));
--- a/gateway/src/rollouts/mod.rs
+++ b/gateway/src/rollouts/mod.rs
@@ -72,8 +72,9 @@
     unwritten_services: Vec<ServiceName>,
     /// All orders written before this time are known.
     orders_as_of: Millis,
-    /// Latest known era of the store; each restore from an older copy starts a new one.
-    store_era: u64,
+    /// Latest known era of the store; each restore from an older copy starts a new one. `None` until the store's first
+    /// response.
+    store_era: Option<u64>,
     /// Number of live gateways, including this one.
     fleet_size: usize,
     /// Whether a report must be sent to the other gateways without delay.
@@ -112,7 +113,7 @@
             statuses: RolloutStatuses::default(),
             unwritten_services: Vec::new(),
             orders_as_of: Millis(0),
-            store_era: 0,
+            store_era: None,
             fleet_size: 1,
             has_urgent_report: false,
         }
@@ -201,12 +202,12 @@
 
     /// Sets the store's era, from its first response.
     pub(crate) fn set_store_era(&mut self, era: u64) {
-        self.store_era = era;
+        self.store_era = Some(era);
     }
 
     /// Invalidates the known statuses after the store was restored from an older copy, which starts another era.
     pub(crate) fn store_restored(&mut self, era: u64, now: Millis) {
-        self.store_era = era;
+        self.store_era = Some(era);
         self.statuses.invalidate(now);
     }
 
