--- a/core/src/serving/status.rs
+++ b/core/src/serving/status.rs
@@ -85,8 +85,24 @@
     /// Merges a status that another gateway has reported; returns whether it replaces the known one.
     ///
     /// Reports may be outdated, and their time on the way makes them look later than they are. So one that would
-    /// cancel a write, against what this gateway has itself read or written, has to be later by a margin. Without that
-    /// the gateway reads the store itself, as it does before each write.
+    /// cancel a write, against what this gateway has itself read or written, has to be later by a margin. Otherwise the
+    /// gateway reads the store, as it does before each write.
+    ///
+    /// ```
+    /// use redwingfold_core::{KnownStatus, Millis, Phase, RolloutStatuses};
+    /// let (service, target) = ("slips".into(), "v3".parse()?);
+    /// let status = |target: &str, ended, as_of| {
+    ///     let target = target.parse().expect("a version");
+    ///     KnownStatus { target, ended, as_of: Millis(as_of), is_superseded: false }
+    /// };
+    /// let mut statuses = RolloutStatuses::default();
+    /// statuses.begin(&service, &target, false);
+    /// statuses.record(&service, status("v2", None, 9_000));
+    /// let done = |as_of| status("v3", Some(Phase::Done), as_of);
+    /// assert!(!statuses.merge_report(&service, done(8_000)));
+    /// assert!(statuses.merge_report(&service, done(20_000)));
+    /// # Ok::<(), redwingfold_core::ParseIdError>(())
+    /// ```
     pub fn merge_report(&mut self, service: &ServiceName, status: KnownStatus) -> bool {
         let entry = self.entry(service);
         let is_later = entry.known.as_ref().is_none_or(|known| {
