--- a/core/src/serving/status.rs
+++ b/core/src/serving/status.rs
@@ -13,8 +13,7 @@
 /// Maximum delay before the end of a rollout is written; servers stop on it.
 const MAX_END_DELAY: Millis = Millis(150);
 
-/// Time by which the age of a reported status may be wrong: the report's time on the way, over a
-/// few gateways.
+/// Maximum error in the age of a reported status, which does not include the transit time of reports.
 const MAX_AGE_ERROR: Millis = Millis(3_000);
 
 /// The status of a rollout that the store holds, as far as a gateway knows.
@@ -60,11 +59,11 @@
     known: Option<KnownStatus>,
     /// Whether this gateway has read or written that record itself.
     is_direct: bool,
-    /// The write that this gateway schedules.
+    /// The writes of the active order.
     schedule: Option<Schedule>,
 }
 
-/// When a gateway writes the statuses of its order.
+/// When a gateway writes the statuses of an order.
 #[derive(Clone, Debug)]
 struct Schedule {
     target: VersionName,
@@ -84,9 +83,9 @@
 
     /// Merges a status that another gateway has reported; returns whether it replaces the known one.
     ///
-    /// Reports may be outdated, and their time on the way makes them look later than they are. So one that would
-    /// cancel a write, against what this gateway has itself read or written, has to be later by a margin. Otherwise the
-    /// gateway reads the store, as it does before each write.
+    /// A report may be outdated, and seems later than it is by its transit time. So a report that would cancel a write
+    /// and contradicts what this gateway itself has read or written must be later by a margin. Otherwise the write
+    /// stays due, and the gateway reads the store before it.
     ///
     /// ```
     /// use redwingfold_core::{KnownStatus, Millis, Phase, RolloutStatuses};
@@ -126,8 +125,8 @@
         is_later
     }
 
-    /// Starts writing the status of a new order. `is_repeated` tells that the order before named the same version: its
-    /// status is not that of the new order.
+    /// Schedules the status of a new order. If the previous order named the same version (`is_repeated`), its status is
+    /// discarded: it does not belong to the new order.
     pub fn begin(&mut self, service: &ServiceName, target: &VersionName, is_repeated: bool) {
         let entry = self.entry(service);
         entry.known.take_if(|known| is_repeated && known.target == *target);
--- a/gateway/src/rollouts/evidence.rs
+++ b/gateway/src/rollouts/evidence.rs
@@ -169,7 +169,7 @@
         if is_newly_rolled_back {
             self.end_rollout(&service, Phase::RolledBack, now);
         }
-        // An end is final, also if it is missing in the store since.
+        // An end is final, even if the store has lost it since.
         match stored_status {
             StoredStatus::Ended(phase) if is_announced => self.end_rollout(&service, phase, now),
             _ => {}
@@ -177,7 +177,7 @@
         is_newly_rolled_back
     }
 
-    /// Merges the status that the store holds by another gateway's report, also if it is that of another order.
+    /// Merges what another gateway reports of the status in the store, even if it belongs to another order.
     fn merge_stored_status(&mut self, report: &RolloutReport, now: Millis) {
         let ended = match report.stored_status {
             StoredStatus::Unknown => return,
@@ -185,7 +185,7 @@
             StoredStatus::Running => None,
             StoredStatus::Ended(phase) => Some(phase),
         };
-        // One of the gateways may not have noticed yet that the store was restored, or not have reached the store at all.
+        // A gateway that has not noticed a restore of the store reports the status from before it.
         if self.store_era != Some(report.store_era) || self.statuses.is_unreliable(now) {
             return;
         }
--- a/gateway/src/rollouts/mod.rs
+++ b/gateway/src/rollouts/mod.rs
@@ -186,6 +186,7 @@
         }
     }
 
+    /// Returns a status as known at `as_of`, with whether the active order has superseded its order.
     fn known_status(
         &self,
         service: &ServiceName,
