feat(gateway): name the shared prompt parts in the lines on a request and its attempts

The logs of the incident say of a request under which servers ended its content, which differs each time. Whether all of them share a part of their prompts could not be seen, so that two hypotheses, one part that ends servers and servers that end by themselves, looked the same.

Adds parts= to attempt_failed, answer_broken and request. No decision changes.

--- a/gateway/src/metadata.rs
+++ b/gateway/src/metadata.rs
@@ -61,6 +61,12 @@
     pub(crate) fn shared_parts(&self) -> &[PromptPart] {
         &self.prompt[..self.prompt.len().saturating_sub(1)]
     }
+
+    /// Returns the ids of the shared parts in hexadecimal, separated by commas, for log lines.
+    pub(crate) fn shared_part_ids(&self) -> String {
+        let ids: Vec<_> = self.shared_parts().iter().map(|p| format!("{:x}", p.id)).collect();
+        ids.join(",")
+    }
 }
 
 /// Metadata that an attempt adds to the caller's request.
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -22,6 +22,7 @@
             &[
                 ("request", &self.metadata.id),
                 ("content", &self.fingerprint),
+                ("parts", &self.metadata.shared_part_ids()),
                 ("server", &server.id),
                 ("addr", &server.addr),
                 ("what", &what),
@@ -60,6 +61,7 @@
             &[
                 ("request", &self.metadata.id),
                 ("content", &self.fingerprint),
+                ("parts", &self.metadata.shared_part_ids()),
                 ("server", &server.id),
                 ("why", &why),
                 ("events", &self.event_count),
@@ -125,6 +127,7 @@
             &[
                 ("request", &self.metadata.id),
                 ("content", &self.fingerprint),
+                ("parts", &self.metadata.shared_part_ids()),
                 ("route", &self.route.name),
                 ("service", &self.service),
                 ("config", &self.catalog.version),
