test(platform): responses without a length that end with their connection

Such responses, streams too, and streams that end inside an event are to be expected from any engine. The stand-in of an engine can close a stream in order inside an event (close_after).

--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -68,6 +68,8 @@
     pub confidence: Option<u8>,
     /// Resets the connection after this many events, within the next one.
     pub cut_after: Option<u64>,
+    /// Closes the connection in order after this many events, within the next one.
+    pub close_after: Option<u64>,
     /// Stops sending after this many events, with the connection open.
     pub silent_after: Option<u64>,
     /// Whether the body is chunked; otherwise the end of the connection ends it.
@@ -81,6 +83,7 @@
             pause: Duration::from_millis(2),
             confidence: None,
             cut_after: None,
+            close_after: None,
             silent_after: None,
             is_framed: true,
         }
@@ -503,6 +506,10 @@
                 reset_on_close(out);
                 return Ok(false);
             }
+            if plan.close_after == Some(id) {
+                write_part(writer, &event.as_bytes()[..6], plan.is_framed)?;
+                break;
+            }
             write_part(writer, event.as_bytes(), plan.is_framed)?;
         }
         if plan.is_framed {
