test(core): a part that becomes deadly while answers from before are still written

A part that has been answered and becomes deadly, for example with the servers' next version, is cleared by each answer that was begun before.

The simulated fleet writes the marks of a request that finds no server at once, as the gateway does: it fails, and no answer will clear it.

--- a/core/tests/quarantine_fleet/mod.rs
+++ b/core/tests/quarantine_fleet/mod.rs
@@ -464,6 +464,8 @@
         let up: Vec<_> =
             (0..self.servers.len()).filter(|s| self.servers[*s].back_at <= now).collect();
         if up.is_empty() {
+            let quarantine = &mut self.gateways[flight.gateway].quarantine;
+            flight.keys().iter().for_each(|key| quarantine.expedite_marks(*key, Millis(now)));
             return;
         }
         let server = up[self.rng.usize(..up.len())];
--- a/core/tests/quarantine_parts.rs
+++ b/core/tests/quarantine_parts.rs
@@ -133,6 +133,26 @@
     assert_in_all_fleets(&arrivals().map(|prompts| (BASE, becomes_deadly(prompts))));
 }
 
+/// Guards against a part that becomes deadly while answers from before are still being written. Each of them clears the
+/// part, although it says nothing about the ends since.
+#[test]
+fn part_that_becomes_deadly_beside_long_answers_reaches_few_servers() {
+    for (gateways, servers, sound_every) in [(3, 12, 40), (27, 50, 20)] {
+        let prompts = PromptLoad {
+            sound_every,
+            deadly_every: 200,
+            deadly_from: 5_000,
+            max_duration: 3_000,
+            ..PromptLoad::default()
+        };
+        let load = Load { gateways, servers, until: 20_000, prompts: Some(prompts), ..BASE };
+        for seed in 1_000..1_010 {
+            let outcome = simulate(load.clone(), seed);
+            assert!(holds(&outcome), "seed {seed}: {load:?}: {outcome:?}");
+        }
+    }
+}
+
 /// Guards against parts that are refused because servers end for unrelated reasons: a third of them every two seconds, or
 /// all every ten seconds; in smaller fleets also a tenth every half second.
 #[test]
