--- a/core/src/serving/quarantine/answered.rs
+++ b/core/src/serving/quarantine/answered.rs
@@ -21,7 +21,7 @@
 pub(super) const CONTENT_EXCUSES: ExcusePolicy =
     ExcusePolicy { retention: Millis(60_000), max_ends: 2 };
 
-/// Policy for prompt parts. An excused end is one more server that a part costs that has become deadly.
+/// Policy for prompt parts. If a part has become deadly, each excused end costs one more server.
 pub(super) const PART_EXCUSES: ExcusePolicy =
     ExcusePolicy { retention: Millis(10_000), max_ends: 1 };
 
--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -263,7 +263,7 @@
         was_quarantined
     }
 
-    /// Returns whether a request may be sent that is identified by this fingerprint, or has this part in its prompt.
+    /// Returns whether a request may be sent that has this content, or this part in its prompt.
     pub fn admission(&self, request: Fingerprint, now: Millis) -> Admission {
         match self.suspects.get(&request) {
             Some(suspect) if self.quarantined.contains(&request) && now < suspect.expires_at => {
