--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -1,14 +1,18 @@
 //! Quarantine of requests and prompt parts that crash backend servers.
 
+mod admission;
 mod answered;
 mod mark;
 mod pending_changes;
+mod policy;
 mod suspect;
 mod verdict;
 
 use std::collections::{HashMap, HashSet};
 
+pub use admission::{Admission, RequestAdmission, SuspectTrial};
 pub use mark::{Mark, MarkChange};
+pub use policy::QuarantinePolicy;
 
 use super::catalog::BackendId;
 use super::feed::random_wait;
@@ -19,78 +23,6 @@
 use pending_changes::PendingChanges;
 use suspect::Suspect;
 
-/// When a request or prompt part is quarantined, and how often requests with it are retried.
-///
-/// An *end* of a server is an unannounced end of its process while it runs requests, such as a crash.
-#[derive(Clone, Copy, Debug)]
-pub struct QuarantinePolicy {
-    /// Number of servers that must have ended while running a request before it is quarantined. A single end does not
-    /// identify the cause, because it affects every request that ran on the server.
-    pub min_ends: usize,
-    /// Same as `min_ends`, for a prompt part. More are needed because a part is in many requests, each of which may be on
-    /// a server that ends for another reason.
-    pub min_part_ends: usize,
-    /// Maximum number of trials of a request or part, over all gateways, while no more than the minimum number of servers
-    /// have ended under it. The first trial that is answered releases it.
-    pub max_trials: u8,
-    /// Maximum number of trials of a request or part under which more servers have ended.
-    pub max_trials_after_more_ends: u8,
-    /// Minimum time between two trials.
-    pub trial_interval: Millis,
-    /// Minimum time from the last end to a trial by a request with several quarantined parts. Until then, a request with
-    /// only one of them can show which part is deadly.
-    pub shared_trial_delay: Millis,
-    /// Time after which a trial without a known result counts as lost.
-    pub trial_timeout: Millis,
-    /// Time after the last end at which the request is forgotten.
-    pub retention: Millis,
-    /// Same as `retention`, for a prompt part. A part that is refused by mistake affects many callers.
-    pub part_retention: Millis,
-    /// Delay before a first end is written to the store. Most requests are answered by the next server in that time, so
-    /// that nothing needs to be written.
-    pub write_delay: Millis,
-    /// Maximum number of suspect requests and parts in the table.
-    pub max_suspects: usize,
-}
-
-impl Default for QuarantinePolicy {
-    /// The limits allow at most three sends of a poison request after its third end, and of a poison part after its fifth,
-    /// even if the result of each trial is lost.
-    ///
-    /// ```
-    /// use redwingfold_core::QuarantinePolicy;
-    /// let policy = QuarantinePolicy::default();
-    /// assert!(policy.min_ends + usize::from(policy.max_trials) <= 3 + 3);
-    /// assert!(policy.min_part_ends + usize::from(policy.max_trials) <= 5 + 3);
-    /// assert!(policy.max_trials_after_more_ends <= 3);
-    /// ```
-    fn default() -> Self {
-        Self {
-            min_ends: 2,
-            min_part_ends: 3,
-            max_trials: 4,
-            max_trials_after_more_ends: 2,
-            trial_interval: Millis(5_000),
-            shared_trial_delay: Millis(10_000),
-            trial_timeout: Millis(2_000),
-            retention: Millis(24 * 3_600_000),
-            part_retention: Millis(3_600_000),
-            write_delay: Millis(1_000),
-            max_suspects: 4_096,
-        }
-    }
-}
-
-impl QuarantinePolicy {
-    fn min_ends_of(&self, suspect: Fingerprint) -> usize {
-        if suspect.is_prompt_part() { self.min_part_ends } else { self.min_ends }
-    }
-
-    fn retention_of(&self, suspect: Fingerprint) -> Millis {
-        if suspect.is_prompt_part() { self.part_retention } else { self.retention }
-    }
-}
-
 /// Time over which the gateways of a fleet spread the rewriting of marks that the store lost in a restore.
 const RESTORE_SPREAD: Millis = Millis(1_000);
 
@@ -103,43 +35,6 @@
     Millis((now.0 / WITHDRAWAL_INTERVAL.0 + 1) * WITHDRAWAL_INTERVAL.0)
 }
 
-/// Whether a request may be sent to a server, as far as one suspect is concerned.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Admission {
-    /// The request is not quarantined and may be sent.
-    Allowed,
-    /// The request is refused; holds the time until the next trial or until the request is forgotten.
-    Refused(Millis),
-    /// The request may be sent to one server as the trial with this number, by the gateway that writes the mark of the
-    /// trial first.
-    Trial(u8),
-}
-
-/// A trial of a suspect.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct SuspectTrial {
-    /// The suspect request or prompt part.
-    pub suspect: Fingerprint,
-    /// Number of the trial, starting at 1.
-    pub number: u8,
-}
-
-/// Whether a request may be sent to a server, with regard to its content and all shared parts of its prompt.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum RequestAdmission {
-    /// Nothing of the request is quarantined, and it may be sent.
-    Allowed,
-    /// The request is refused.
-    Refused {
-        /// What is quarantined.
-        suspect: Fingerprint,
-        /// Time until the next trial, or until the suspect is forgotten.
-        left: Millis,
-    },
-    /// The request may be sent to one server as a trial of each of these, by the gateway that writes their marks first.
-    Trial(Vec<SuspectTrial>),
-}
-
 /// The suspect requests and prompt parts that one gateway has on record, and the marks that it has yet to write.
 ///
 /// Failure: a poison request ends every server that runs it. Its caller sends it again under new request ids, through
