--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -21,7 +21,6 @@
 mod leaving;
 mod limits;
 mod load;
-mod loop_lag;
 mod members;
 mod placement;
 mod quarantine;
@@ -60,7 +59,6 @@
 pub use leaving::LeavingServers;
 pub use limits::{LimitChange, LimitPolicy, ServerLimits};
 pub use load::{PeerLoad, PeerLoads, PrefillRates, ServerReport};
-pub use loop_lag::LoopLag;
 pub use members::Members;
 pub use placement::{Place, PlacementPolicy, Work, is_in_first_half, lead_servers, place};
 pub use quarantine::{
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -9,9 +9,9 @@
 use event_listener::Event;
 use redwingfold_core::{
     Catalog, ConfidenceGains, ConnectTimeout, DomainRegions, Evacuations, FeedPositions,
-    InterruptedRuns, LeavingServers, LoopLag, Millis, PrefillRates, Pressure, Quarantine,
-    QuarantinePolicy, Registry, RegistryPolicy, ResendBudget, ResendReason, RetryAfterTimes,
-    SendTurns, ServerLimits, ServiceName, StreamTimes,
+    InterruptedRuns, LeavingServers, Millis, PrefillRates, Pressure, Quarantine, QuarantinePolicy,
+    Registry, RegistryPolicy, ResendBudget, ResendReason, RetryAfterTimes, SendTurns, ServerLimits,
+    ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -73,7 +73,6 @@
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) loads: LoadTable,
     pub(crate) connections: Cell<usize>,
-    pub(crate) loop_lag: Cell<LoopLag>,
     pub(crate) request_body_bytes: Cell<usize>,
     pub(crate) in_flight: Cell<usize>,
     catalog: RefCell<Option<Rc<Catalog>>>,
@@ -155,7 +154,6 @@
             executor,
             loads: LoadTable::default(),
             connections: Cell::new(0),
-            loop_lag: Cell::default(),
             request_body_bytes: Cell::new(0),
             in_flight: Cell::new(0),
             catalog: RefCell::new(None),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -64,7 +64,7 @@
 pub use response::{GatewayResponse, ResponseBody, text_response};
 pub use rollout_report::{RolloutReport, StoredStatus};
 pub use rollouts::{DueStatus, Rollouts};
-pub use serve::{serve_callers, serve_pages, watch_loop_lag};
+pub use serve::{serve_callers, serve_pages};
 pub use session_keepers::send_session_messages;
 pub use settings::GatewaySettings;
 pub use upstream::{CallError, HttpConnection, ResponseReader};
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -41,13 +41,6 @@
             gw.telemetry.count("connection.refused", 1);
             continue;
         }
-        let mut loop_lag = gw.loop_lag.get();
-        if loop_lag.is_overloaded(gw.now()) {
-            gw.telemetry.count("connection.shed", 1);
-            continue;
-        }
-        loop_lag.record_accept();
-        gw.loop_lag.set(loop_lag);
         let gateway = gw.clone();
         gw.spawn(async move {
             gateway.connections.set(gateway.connections.get() + 1);
@@ -57,26 +50,6 @@
     }
 }
 
-/// Measures how far the event loop is behind, until the returned future is dropped. While it is overloaded, new
-/// connections are closed before anything is read from them, so that their callers retry at another gateway.
-pub async fn watch_loop_lag(gw: Rc<Gateway>) {
-    let mut was_overloaded = false;
-    loop {
-        let mut loop_lag = gw.loop_lag.get();
-        let due = loop_lag.record_timer(gw.now());
-        gw.loop_lag.set(loop_lag);
-        let is_overloaded = loop_lag.is_overloaded(gw.now());
-        if is_overloaded != was_overloaded {
-            was_overloaded = is_overloaded;
-            gw.telemetry.info(
-                "loop_overloaded",
-                &[("overloaded", &is_overloaded), ("lag_ms", &loop_lag.last())],
-            );
-        }
-        sleep(due.since(gw.now())).await;
-    }
-}
-
 async fn serve_connection(gw: &Rc<Gateway>, stream: TcpStream) {
     if let Err(e) = set_socket_options(&stream) {
         gw.telemetry.warn("connection_options", &[("why", &e)]);
