feat(gateway): keep a stream at its server where another could not resume it in time

Ruled out: dead servers; the same servers sent events to other requests. Change: where admission control is on, the timeout for an event is three times the gap that is in time, unless another server can resume within that gap.

--- a/core/src/serving/silence.rs
+++ b/core/src/serving/silence.rs
@@ -15,6 +15,9 @@
     pub event_gap_share: f64,
     /// Minimum timeout for an event.
     pub min_event: Millis,
+    /// Timeout for the next event, as a multiple of the longest gap that still meets its target, of a stream that no other
+    /// server could resume within that gap.
+    pub late_event_gap_factor: f64,
     /// Pressure from which requests are sent elsewhere only if their server sends nothing to any request.
     pub max_pressure: f64,
     /// Minimum time without data on any request after which a model engine counts as hanging.
@@ -33,6 +36,8 @@
             head_expected_factor: 3,
             event_gap_share: 0.75,
             min_event: Millis(750),
+            // Callers give up a stream after eight times the gap.
+            late_event_gap_factor: 3.0,
             max_pressure: 0.30,
             min_engine_silence: Millis(2_000),
             min_plain_silence: Millis(500),
@@ -47,6 +52,13 @@
     Head(Millis),
     /// The next event of a stream, for which a gap of this length still meets the target.
     Event(Millis),
+    /// The same, where the time is known that another server needs to resume the stream.
+    ResumableEvent {
+        /// Longest gap that still meets the target.
+        gap: Millis,
+        /// Expected time until the first event from another server, which has to prefill the whole prompt.
+        resume: Millis,
+    },
     /// A plain answer.
     Plain,
 }
@@ -87,9 +99,29 @@
                 Some(base.after(Millis(expected.0 * self.head_expected_factor)))
             }
             Awaited::Event(gap) => Some(self.min_event.max(part(gap, self.event_gap_share))),
+            Awaited::ResumableEvent { gap, resume } => Some(self.event_timeout(gap, resume)),
         }
     }
 
+    /// Returns the timeout for an event of a stream that another server can resume within `resume`.
+    ///
+    /// Load pattern: a server that prefills a prompt of fifty thousand tokens with a large model sends an event of each
+    /// other stream only about once a second. Streams that were sent elsewhere meanwhile were late all the same, and their
+    /// own long prompts, prefilled again, stalled the streams of the next server. So a stream changes its server early
+    /// only if its next event can then still be in time.
+    ///
+    /// ```
+    /// use redwingfold_core::{Millis, SilencePolicy};
+    /// let policy = SilencePolicy::default();
+    /// let timeout = |resume| policy.event_timeout(Millis(1_200), Millis(resume));
+    /// assert_eq!((timeout(100), timeout(2_000)), (Millis(900), Millis(3_600)));
+    /// ```
+    pub fn event_timeout(&self, gap: Millis, resume: Millis) -> Millis {
+        let part = |part: f64| Millis((gap.0 as f64 * part) as u64);
+        let early = self.min_event.max(part(self.event_gap_share));
+        if early.after(resume) <= gap { early } else { early.max(part(self.late_event_gap_factor)) }
+    }
+
     /// Returns the time without data on any request after which a server counts as hanging.
     pub fn hang_timeout(&self, awaited: Awaited, target_latency: Millis) -> Millis {
         let min = if awaited == Awaited::Plain {
--- a/core/tests/silence.rs
+++ b/core/tests/silence.rs
@@ -98,3 +98,57 @@
     assert_eq!(given_up(|_| 0), Some(3_000));
     assert_eq!(given_up(|now| now), None);
 }
+
+/// Counts streams that are sent to another server, of 1,000 whose events come `gap` ms apart for four seconds, with
+/// random deviations of a third, because their server prefills a long prompt.
+fn sent_elsewhere(awaited: Awaited, gap: u64) -> usize {
+    let policy = SilencePolicy::default();
+    let mut rng = fastrand::Rng::with_seed(11);
+    let is_sent = |rng: &mut fastrand::Rng| {
+        let mut elapsed = 0;
+        while elapsed < 4_000 {
+            let next = rng.u64(gap * 2 / 3..=gap * 4 / 3);
+            let mut watch = SilenceWatch::new(Millis(0), POLL);
+            let looks = (1..).map(|look| Millis(look * POLL.0)).take_while(|now| now.0 < next);
+            for now in looks {
+                watch.poll(now, now);
+                if watch.is_over(&policy, awaited, TARGET_LATENCY, 0.05) {
+                    return true;
+                }
+            }
+            elapsed += next;
+        }
+        false
+    };
+    (0..1_000).filter(|_| is_sent(&mut rng)).count()
+}
+
+/// Guards against streams that leave a server which prefills a long prompt, although the server still sends their events:
+/// their own long prompts, prefilled again, stall the streams of the next server. Load pattern: events 0.9 s apart, where
+/// gaps of 1.2 s are in time; another server needs 1.5 s to resume the stream.
+#[test]
+fn streams_beside_a_long_prompt_stay_at_their_server() {
+    let gap = Millis(1_200);
+    let by_gap_alone = sent_elsewhere(Awaited::Event(gap), 900);
+    let resume = Millis(1_500);
+    let by_resume_time = sent_elsewhere(Awaited::ResumableEvent { gap, resume }, 900);
+    assert!(by_gap_alone > 500 && by_resume_time == 0, "{by_gap_alone} -> {by_resume_time}");
+}
+
+/// Guards against lost streams that stay with their server: a short prompt is resumed elsewhere within the gap that is in
+/// time, and a long one still before its caller gives up.
+#[test]
+fn lost_streams_are_resumed_in_time_or_before_their_caller_leaves() {
+    let policy = SilencePolicy::default();
+    for gap in [Millis(600), Millis(1_200)] {
+        // A caller gives up after 2 s, four times the target or eight times the gap, whichever is longest.
+        let patience = Millis(gap.0 * 8).max(Millis(TARGET_LATENCY.0 * 4)).max(Millis(2_000));
+        for resume in (0..4_000).step_by(50).map(Millis) {
+            let timeout = policy.event_timeout(gap, resume);
+            assert!(timeout.after(resume) <= patience, "{gap} {resume}");
+            assert!(timeout <= Millis(gap.0 * 3).max(policy.min_event), "{gap} {resume}");
+        }
+        let quick = policy.event_timeout(Millis(1_200), Millis(100));
+        assert!(quick.after(Millis(100)) <= Millis(1_200));
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -146,6 +146,7 @@
             gw.record_cold(server, left);
         }
         if let Some(load) = metadata.load {
+            gw.record_shared_host(&load);
             gw.loads.record_report(server, load, now);
         }
         let rejection = self.check_response(&head, &metadata);
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -115,6 +115,8 @@
     pub(crate) confidence_gains: RefCell<ConfidenceGains>,
     pub(crate) stream_times: RefCell<StreamTimes>,
     pressure: Cell<Pressure>,
+    /// Whether a server has reported that it shares its host.
+    pub(crate) has_shared_hosts: Cell<bool>,
     lifecycle: Cell<Lifecycle>,
     stop_deadline: Cell<Millis>,
     /// Notified when the configuration, the servers or the lifecycle changed.
@@ -187,6 +189,7 @@
             confidence_gains: RefCell::default(),
             stream_times: RefCell::default(),
             pressure: Cell::default(),
+            has_shared_hosts: Cell::default(),
             lifecycle: Cell::default(),
             stop_deadline: Cell::new(Millis(u64::MAX)),
             state_changed: Event::new(),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -4,6 +4,7 @@
 //! server, attempt, and relay of the response. The headers of a deployment are converted by a [`HeaderCodec`], and its state
 //! is applied through the methods of [`Gateway`]. Decisions are made in `redwingfold-core`.
 
+mod admission;
 mod attempt;
 mod availability;
 mod clock;
--- a/gateway/src/metadata.rs
+++ b/gateway/src/metadata.rs
@@ -95,6 +95,9 @@
     pub waiting: u32,
     /// Number of requests that can run concurrently.
     pub slots: u32,
+    /// How long work takes on the server's host at the moment, in percent of the usual time; `None` if the server does not
+    /// share its host.
+    pub work_time_percent: Option<u32>,
 }
 
 /// Metadata in the head of a response.
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -180,11 +180,10 @@
         };
         let silent = async {
             let mut watch = SilenceWatch::new(self.request.gw.now(), SILENCE_POLL_INTERVAL);
-            let gap = self.request.route.stream.map_or(Millis(0), |stream| stream.max_gap);
+            let awaited = self.awaited_event();
             loop {
                 sleep(SILENCE_POLL_INTERVAL).await;
-                let is_silent =
-                    self.request.is_server_silent(&mut watch, &server, Awaited::Event(gap));
+                let is_silent = self.request.is_server_silent(&mut watch, &server, awaited);
                 if is_silent && self.request.is_retryable() {
                     return RelayStep::Silent;
                 }
@@ -194,6 +193,17 @@
             .await
     }
 
+    /// Returns what the stream waits for, with the time that another server needs to resume it where that counts.
+    fn awaited_event(&self) -> Awaited {
+        let gap = self.request.route.stream.map_or(Millis(0), |stream| stream.max_gap);
+        if !self.request.gw.has_admission_control() {
+            return Awaited::Event(gap);
+        }
+        let size = self.request.size;
+        let own = self.request.prefill_time(size.unwrap_or(0));
+        Awaited::ResumableEvent { gap, resume: own.after(self.request.prefill_work(size).shared) }
+    }
+
     /// Records the duration of a stream from its first byte, unless it resumed an earlier one.
     fn record_stream_duration(&self) {
         let request = &self.request;
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -51,6 +51,9 @@
     pub feeds: FeedPeriods,
     /// Maximum size of the operator's records fetched from another gateway, in bytes.
     pub max_orders_bytes: usize,
+    /// Whether decisions under load follow the estimated capacity of the servers from the start. Otherwise they do once a
+    /// server reports that it shares its host with others.
+    pub admission_control: bool,
 }
 
 impl Default for GatewaySettings {
@@ -85,6 +88,7 @@
             limits: LimitPolicy::default(),
             feeds: FeedPeriods::default(),
             max_orders_bytes: 16 * 1024 * 1024,
+            admission_control: false,
         }
     }
 }
