feat(core): estimate the free capacity that a gateway may use

Cause: gateways see the same free slots of a server. In a burst, with old reports or after a restart each one would use all of them before the next report: 8 free of 48 slots and 23 gateways give 176 requests too many, and 1,096 if no gateway knows anything.

Change: `HeadroomPolicy` gives each gateway its part of the free slots, at least one, from a report of up to 3 s, and its part of all slots without one. An expired report still limits it to the part that was free then, or to one request. A gateway that does not know the size of its fleet passes 0 and uses one slot. Requests of other gateways count against the memory. `RunTimes` keeps a bounded mean of each service, and `HeadroomPressure` the utilization for the choice of a larger model. Nothing calls them yet.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -15,6 +15,7 @@
 mod feed;
 mod feed_positions;
 mod fingerprint;
+mod headroom;
 mod health;
 mod idle_timeout;
 mod interrupted_runs;
@@ -53,6 +54,9 @@
 pub use feed::{FeedHistory, FeedUpdate, FeedUpdateOutcome, FeedView, is_compacted_read_shorter};
 pub use feed_positions::FeedPositions;
 pub use fingerprint::Fingerprint;
+pub use headroom::{
+    Headroom, HeadroomPolicy, HeadroomPressure, LoadSample, Run, RunTimes, ServerFacts,
+};
 pub use health::{Fault, HealthPolicy, ServerHealth};
 pub use idle_timeout::IdleTimeout;
 pub use interrupted_runs::{BrokenRun, EndedRun, InterruptedRuns};
