feat(gateway): choose larger models by the utilization of the servers

Cause: the latency of first sends as a share of the target counted as the load of the servers. Change: where admission control is on, the required confidence follows the slots in use and the shortest prefill wait, and the larger model must be able to begin in time after that wait.

--- a/core/src/serving/sizes.rs
+++ b/core/src/serving/sizes.rs
@@ -64,6 +64,24 @@
 }
 
 impl SizePolicy {
+    /// Returns the policy that follows the utilization of the servers in place of the pressure.
+    ///
+    /// Load pattern: long prompts and shared hosts delay first events on servers that have most of their slots free. By
+    /// the latency of first sends such servers look full, and answers that a larger model could improve in time were
+    /// accepted.
+    ///
+    /// ```
+    /// use redwingfold_core::SizePolicy;
+    /// let policy = SizePolicy::by_utilization();
+    /// let required = |utilization| policy.min_confidence_at(utilization);
+    /// assert!(required(0.3) == policy.min_confidence && required(0.7) < required(0.5) && required(1.0) == 0.0);
+    /// ```
+    pub fn by_utilization() -> Self {
+        // At half of the slots a step takes a few percent longer. Above nine tenths, a server that gets a burst of a
+        // tenth more has a queue.
+        Self { low_pressure: 0.5, high_pressure: 0.9, ..Self::default() }
+    }
+
     /// Returns the required confidence at a pressure.
     ///
     /// Load pattern: a third of the engines leaves, or all callers return at once. An answer of the largest model takes
--- a/gateway/src/model_choice.rs
+++ b/gateway/src/model_choice.rs
@@ -1,6 +1,6 @@
 //! Decision whether to forward a model's answer or to retry with a larger model.
 
-use redwingfold_core::{LargerModel, Millis, ResendReason};
+use redwingfold_core::{HeadroomPressure, LargerModel, Millis, Place, ResendReason, SizePolicy};
 
 use crate::request::InFlightRequest;
 
@@ -44,14 +44,46 @@
     /// Selects a larger model for a retry, if one is worth it.
     fn choose_larger(&self, size: usize, confidence: u8) -> Option<usize> {
         let spent = self.gw.now().since(self.received_at);
+        let load = self.gw.has_admission_control().then(|| self.server_load());
+        let wait = load.as_ref().map_or(Millis(0), |load| load.prefill_wait);
         let larger: Vec<_> = (size + 1..self.route.sizes.len())
             .filter(|larger| self.is_expected_in_time(*larger))
             .map(|larger| LargerModel {
                 size: larger,
                 gain: self.gw.confidence_gains.borrow().expected(&self.service, size, larger),
-                in_time: spent.after(self.prefill_time(larger)) < self.route.latency_target,
+                in_time: spent.after(wait).after(self.prefill_time(larger))
+                    < self.route.latency_target,
             })
             .collect();
-        self.gw.settings.sizes.larger(confidence, self.gw.pressure(), &larger)
+        match load {
+            Some(load) => {
+                SizePolicy::by_utilization().larger(confidence, load.utilization, &larger)
+            }
+            None => self.gw.settings.sizes.larger(confidence, self.gw.pressure(), &larger),
+        }
+    }
+
+    /// Returns the load of the servers that may run this request.
+    fn server_load(&self) -> ServerLoad {
+        let now = self.gw.now();
+        let places: Vec<Place> = self.gw.with_registry(|registry| {
+            let servers = self.eligible_servers(registry);
+            servers.into_iter().map(|server| self.gw.loads.place(server, now)).collect()
+        });
+        let slots: f64 = places.iter().map(|place| f64::from(place.slots)).sum();
+        let used = |place: &Place| (place.running + place.waiting).min(f64::from(place.slots));
+        let free = slots - places.iter().map(used).sum::<f64>();
+        let prefill_wait = places.iter().map(|place| place.prefill_wait).min().unwrap_or_default();
+        let target = self.route.latency_target;
+        let utilization = HeadroomPressure.utilization(free, slots, prefill_wait, target);
+        ServerLoad { utilization, prefill_wait }
     }
 }
+
+/// Load of the servers that may run a request.
+struct ServerLoad {
+    /// From 0 (idle) to 1 (full).
+    utilization: f64,
+    /// Shortest time until one of them begins to prefill a new prompt.
+    prefill_wait: Millis,
+}
--- a/gateway/src/server_choice.rs
+++ b/gateway/src/server_choice.rs
@@ -270,7 +270,7 @@
     }
 
     /// Returns the servers that are eligible for this request.
-    fn eligible_servers<'a>(&self, registry: &'a Registry) -> Vec<&'a BackendServer> {
+    pub(crate) fn eligible_servers<'a>(&self, registry: &'a Registry) -> Vec<&'a BackendServer> {
         let model = match (&self.metadata.model, self.size) {
             (_, Some(size)) => self.route.sizes.get(size),
             (RequestedModel::Named(model), None) => Some(model),
