feat(core): admission decisions and the wait queue

Cause: with too little capacity requests are served in the order of arrival, so that all callers wait for as long as the most patient ones do. Change: a request is sent, waits or is refused with a time at which there is capacity. Waiting requests are ordered by rank improved by waiting, promised returns, use of the customer's share, time left, size and arrival. The queue holds 1,024 requests; a more urgent one replaces the last in order.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -1,5 +1,6 @@
 //! Decisions of a gateway: routing, backend servers, placement, retries, model cascades and rollouts.
 
+mod admission;
 mod allowed_regions;
 mod answers;
 mod baseline_latency;
@@ -35,6 +36,9 @@
 mod unreachable;
 mod urgency;
 
+pub use admission::{
+    AdmissionDecision, AdmissionPolicy, Capacity, Demand, QueueFull, WaitQueue, Waiting,
+};
 pub use allowed_regions::{AllowedRegions, DomainRegions};
 pub use answers::{AnswerCounts, AnswerSums, FleetEvidence, LatencySums, RouteEvidence};
 pub use baseline_latency::{BaselineLatency, CurrentSlowdown};
