feat(core): rank at servers by the operator's rank first

Cause: servers rank by size first, so that short prompts of the last rank go before long ones of higher ranks. Change: ServerOrder ranks by three ranks of the operator times three sizes. A prompt whose latency target is closer than its size class takes to read moves up one class within its rank.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -64,9 +64,9 @@
     PutOutcome, Quarantine, QuarantinePolicy, QueueFull, Registry, RegistryPolicy,
     RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, RolloutOrder, RolloutStatuses,
     Route, RouteEvidence, RouteName, SendCounts, SendTurns, ServerHealth, ServerLimits,
-    ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch,
-    SizePolicy, StreamRules, StreamTimes, SuspectTrial, UnreachableServers, UrgencyPolicy,
-    WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter, is_in_first_half,
-    lead_servers, place,
+    ServerOrder, ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy,
+    SilenceWatch, SizePolicy, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
+    UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter,
+    is_in_first_half, lead_servers, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/admission/mod.rs
+++ b/core/src/serving/admission/mod.rs
@@ -3,9 +3,11 @@
 
 mod decision;
 mod queue;
+mod server_order;
 
 pub use decision::{AdmissionDecision, AdmissionPolicy, Capacity};
 pub use queue::{QueueFull, WaitQueue, Waiting};
+pub use server_order::ServerOrder;
 
 use super::catalog::Priority;
 use crate::ids::Millis;
