test(core): the last rank starves at a server that higher ranks fill

Cause: the rank at a server is fixed when a request is sent, so that ageing in the wait queue of a gateway does not reach it.

--- a/core/tests/server_order.rs
+++ b/core/tests/server_order.rs
@@ -30,6 +30,9 @@
 /// Most by which the share of a lower rank may exceed that of a higher one.
 const MAX_INVERSION: f64 = 0.05;
 
+/// Least share of each rank that begins in time.
+const MIN_SHARE: f64 = 0.05;
+
 /// Least ratio between the share of the largest tenth of a kind and that of the kind.
 const MIN_RATIO_OF_LARGEST: f64 = 0.5;
 
@@ -473,3 +476,22 @@
         }
     }
 }
+
+/// Load pattern: higher ranks need all that the server reads. Requests that wait at the server do not gain rank, so
+/// that the last rank begins only if it arrives at a moment without prompts of higher ranks.
+#[test]
+fn last_rank_does_not_starve_at_the_server() {
+    let shortages = [
+        Shortage::Burst(2.0),
+        Shortage::OneKind(2),
+        Shortage::Retries,
+        Shortage::HalfOfServers,
+        Shortage::Wave,
+    ];
+    let starved: Vec<_> = shortages
+        .into_iter()
+        .map(|shortage| (shortage, shares_of_ranks(&simulate(Order::Rank, shortage))))
+        .filter(|(_, shares)| shares[2] < MIN_SHARE)
+        .collect();
+    assert!(starved.is_empty(), "{starved:.3?}");
+}
