docs(core): source of the bound of the wait queue

Cause: the bound had no source, and the time of a pop was stated without a measurement. Change: the slots per gateway of the design page are named as the source, and the claim about time is gone. Code is unchanged.

--- a/core/src/serving/admission/queue.rs
+++ b/core/src/serving/admission/queue.rs
@@ -6,8 +6,9 @@
 use super::Demand;
 use crate::ids::Millis;
 
-/// Maximum number of waiting requests of a service. A gateway starts up to 100 requests per second and callers wait for
-/// up to about 10 s, so that requests beyond it could not begin in time.
+/// Maximum number of waiting requests of a service. On the deployments of the design page a gateway has 90 to 120 slots
+/// for itself; with runs of a second it starts about 100 requests per second. Callers wait for up to about 10 s, so
+/// that requests beyond 1,000 could not begin in time.
 const MAX_WAITING: usize = 1_024;
 
 /// A waiting request.
@@ -39,8 +40,8 @@
 ///
 /// Requests are ordered by their effective rank, promised returns first, the least used share of the customer, the
 /// least time to the latest useful start, the fewest tokens, and arrival. The effective rank improves by one for each
-/// two latency targets waited. As the order changes with time and usage, it is computed when it is needed; with at most
-/// 1,024 requests this takes microseconds.
+/// two latency targets waited. As the order changes with time and usage, it is computed when it is needed, in one pass
+/// over the requests.
 ///
 /// ```
 /// use redwingfold_core::{Demand, Millis, Priority, WaitQueue, Waiting};
