feat(core): promised returns of refused callers

Load pattern: a wave of callers that is refused at once returns at random times between 1 and 2 s, again as a wave, and any gateway treats them as new callers.

ReturnSchedule gives each refused caller the next position of its service, spaced by the rate at which the gateway completes requests, with a random part of one position. Notices to the peers, each repeated once, let any gateway recognize the caller. Promises have numbers, because equal requests of one customer have the same fingerprint and copies of a notice must not restore a used promise.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -61,11 +61,11 @@
     LargerModel, LatencySums, LeavingServers, LimitChange, LimitPolicy, Mark, MarkChange, Members,
     MovedSessions, OrderAge, PeerLoad, PeerLoads, PeerServerList, Phase, Place, PlacementPolicy,
     PrefillRates, Pressure, Priority, PutOutcome, Quarantine, QuarantinePolicy, Registry,
-    RegistryPolicy, RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, RolloutOrder,
-    RolloutStatuses, Route, RouteEvidence, RouteName, SendCounts, SendTurns, ServerHealth,
-    ServerLimits, ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy,
-    SilenceWatch, SizePolicy, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
-    UrgencyPolicy, WholeEvents, Work, is_compacted_read_shorter, is_in_first_half, lead_servers,
-    place,
+    RegistryPolicy, RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, Return,
+    ReturnCounts, ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route,
+    RouteEvidence, RouteName, SendCounts, SendTurns, ServerHealth, ServerLimits, ServerReport,
+    ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
+    StreamRules, StreamTimes, SuspectTrial, UnreachableServers, UrgencyPolicy, WholeEvents, Work,
+    is_compacted_read_shorter, is_in_first_half, lead_servers, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -26,6 +26,7 @@
 mod quarantine;
 mod registry;
 mod retry_after;
+mod returns;
 mod sessions;
 mod silence;
 mod sizes;
@@ -68,6 +69,7 @@
     BackendServer, PeerServerList, PutOutcome, Registry, RegistryPolicy, ServerState,
 };
 pub use retry_after::RetryAfterTimes;
+pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule};
 pub use sessions::{MovedSessions, SessionKey};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
 pub use sizes::{ConfidenceGains, LargerModel, Pressure, SizePolicy};
