feat(gateway): notices of promised returns to the peers

The periodic load message carries at most 24 notices, 21 bytes each, in a new last field of PeerMessage. They go into a message of their own if they would make it too long, because load reports are otherwise left out of it: with 190 reports it would be, with 120 all fit (gateway/src/returns_tests.rs). Kept, broken and unused promises are counted in the metrics, if there are any.

Nothing makes promises yet; that follows with admission. As with each new field, a message of the version before is unreadable to this one and counted as such.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -10,8 +10,8 @@
 use redwingfold_core::{
     Catalog, ConfidenceGains, ConnectTimeout, DomainRegions, Evacuations, FeedPositions,
     InterruptedRuns, LeavingServers, Millis, PrefillRates, Pressure, Quarantine, QuarantinePolicy,
-    Registry, RegistryPolicy, ResendBudget, ResendReason, RetryAfterTimes, SendTurns, ServerLimits,
-    ServiceName, StreamTimes,
+    Registry, RegistryPolicy, ResendBudget, ResendReason, RetryAfterTimes, ReturnSchedule,
+    SendTurns, ServerLimits, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -95,6 +95,7 @@
     pub(crate) server_limits: RefCell<ServerLimits>,
     pub(crate) leaving_servers: RefCell<LeavingServers>,
     pub(crate) retry_after: RefCell<RetryAfterTimes>,
+    pub(crate) returns: RefCell<ReturnSchedule>,
     /// Notified when marks of requests must be written, or a trial is requested.
     pub(crate) marks_changed: Event,
     /// When the store was last restored from an older copy.
@@ -174,6 +175,7 @@
             server_limits: RefCell::default(),
             leaving_servers: RefCell::default(),
             retry_after: RefCell::default(),
+            returns: RefCell::default(),
             marks_changed: Event::new(),
             restored_at: Cell::default(),
             orders_read_error: RefCell::default(),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -62,6 +62,10 @@
 /// Most marks of requests that fit into a datagram together with the positions of the other feeds.
 const MAX_MARKS_IN_LONG_MESSAGE: usize = 24;
 
+/// Most notices of promised returns in a message. Each takes up to 21 bytes, so that all fit into a datagram together with
+/// the usual load reports.
+const MAX_RETURNS_PER_MESSAGE: usize = 24;
+
 /// Largest datagram that passes common links without fragmentation, in bytes.
 const MAX_DATAGRAM: usize = 1_400;
 
@@ -157,6 +161,12 @@
         }
         let mut loads = PeerMessage::default();
         loads.set_loads(self.gw.loads.take_pending_updates(self.gw.now()), self.gw.now());
+        let returns = self.gw.take_return_notices(MAX_RETURNS_PER_MESSAGE);
+        loads.returns = returns.into_iter().map(Into::into).collect();
+        self.gw.count_returns();
+        if let Some(returns) = split_returns(&mut loads) {
+            self.send(returns, &live, BYTES_RESERVED_FOR_FEEDS).await;
+        }
         if !loads.is_empty() || self.gw.now().since(self.last_sent_at) >= HEARTBEAT_INTERVAL {
             self.send(loads, &live, BYTES_RESERVED_FOR_FEEDS).await;
         }
@@ -223,6 +233,18 @@
     parts.iter().map(message).collect()
 }
 
+/// Moves the notices of promised returns into a message of their own if they would make this one too long. Otherwise the
+/// load reports would be left out while many callers are refused.
+pub(crate) fn split_returns(message: &mut PeerMessage) -> Option<PeerMessage> {
+    let has_returns = !message.returns.is_empty();
+    let is_too_long =
+        |m: &PeerMessage| postcard::to_stdvec(m).is_ok_and(|b| b.len() > MAX_DATAGRAM);
+    (has_returns && is_too_long(message)).then(|| PeerMessage {
+        returns: std::mem::take(&mut message.returns),
+        ..PeerMessage::default()
+    })
+}
+
 /// Encodes a message. If it is too long for a datagram, its least important parts are left out; `None` if it is still
 /// too long.
 fn encode_datagram(mut message: PeerMessage) -> Option<Vec<u8>> {
@@ -272,6 +294,7 @@
     for server in gw.loads.apply_peer_update(from, loads, fleet, now) {
         gw.log_unreachable_server(server, Some(from));
     }
+    gw.apply_peer_returns(message.returns.into_iter().map(Into::into));
     if let Some(orders) = message.orders {
         gw.apply_orders_update(from, orders.into());
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,9 @@
 mod response;
 #[cfg(test)]
 mod restored_rollouts_tests;
+mod returns;
+#[cfg(test)]
+mod returns_tests;
 mod rollout_choice;
 mod rollout_control;
 mod rollout_report;
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -4,8 +4,8 @@
 
 use redwingfold_core::{
     AnswerCounts, AnswerSums, BackendServer, FeedUpdate, Fingerprint, Incarnation, LatencySums,
-    Mark, MarkChange, Millis, ParseIdError, Phase, RequestRate, RouteEvidence, SendCounts,
-    ServerReport, ServerState,
+    Mark, MarkChange, Millis, ParseIdError, Phase, RequestRate, ReturnNotice, RouteEvidence,
+    SendCounts, ServerReport, ServerState,
 };
 use serde::{Deserialize, Serialize};
 
@@ -35,6 +35,7 @@
     /// Incarnation hashes of servers that are leaving.
     pub(crate) leaving: Vec<u64>,
     pub(crate) session: Option<SessionMessage>,
+    pub(crate) returns: Vec<ReturnWire>,
 }
 
 /// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
@@ -42,6 +43,11 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct LimitWire(u64, Option<f64>, u16);
 
+/// A promised return: fingerprint of the request, number of the promise, hash of the service's name, and milliseconds
+/// until the return.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) struct ReturnWire(u64, u16, u32, u16);
+
 /// Position in a feed: offset from which changes are included, next offset, age in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct FeedWire(u64, u64, u32);
@@ -181,6 +187,21 @@
     }
 }
 
+impl From<ReturnNotice> for ReturnWire {
+    fn from(notice: ReturnNotice) -> Self {
+        let due_in = notice.due_in.0.min(u64::from(u16::MAX)) as u16;
+        Self(notice.request.0, notice.number, notice.service, due_in)
+    }
+}
+
+impl From<ReturnWire> for ReturnNotice {
+    fn from(message: ReturnWire) -> Self {
+        let ReturnWire(request, number, service, due_in) = message;
+        let request = Fingerprint(request);
+        Self { request, number, service, due_in: Millis(due_in.into()) }
+    }
+}
+
 impl From<&BackendServer> for ServerWire {
     fn from(server: &BackendServer) -> Self {
         Self {
