--- a/core/src/serving/returns/mod.rs
+++ b/core/src/serving/returns/mod.rs
@@ -16,8 +16,8 @@
 use super::fingerprint::Fingerprint;
 use crate::ids::Millis;
 
-/// Maximum time until a promised return. Callers honour a third of their time left, so it covers deadlines of up to three
-/// minutes; in milliseconds it fits the 16 bits of a notice.
+/// Maximum time until a promised return. Callers honour a third of their time left, so it covers deadlines of up to
+/// three minutes; in milliseconds it fits the 16 bits of a notice.
 const MAX_DELAY: Millis = Millis(60_000);
 
 /// Time by which a caller may return before or after its promised time without being early or late: a quarter of a
@@ -73,12 +73,13 @@
 impl ReturnSchedule {
     /// Promises a refused caller capacity and returns the time until it should come back.
     ///
-    /// That is at least `ready_in`, after all promises already made for the service, and at most a minute. `rate` is the
-    /// number of requests per second that this gateway completes; without a usable one, promises are a second apart.
-    /// `draw` is a random number, which moves the promise by a part of one position so that gateways do not coincide.
+    /// That is at least `ready_in`, after all promises already made for the service, and at most a minute. `rate` is
+    /// the number of requests per second that this gateway completes; without a usable one, promises are a second
+    /// apart. `draw` is a random number, which moves the promise by a part of one position so that gateways do not
+    /// coincide.
     ///
-    /// The refusal of a caller that has returned in time breaks its promise. The new one is at `ready_in`, or at a random
-    /// time from then until the next promise after the broken one.
+    /// The refusal of a caller that has returned in time breaks its promise. The new one is at `ready_in`, or at a
+    /// random time from then until the next promise after the broken one.
     pub fn promise(
         &mut self,
         request: Fingerprint,
@@ -116,8 +117,8 @@
         self.promises.find(request, window(now)).is_some()
     }
 
-    /// Uses up the promise of a request that has returned in time and is sent to a server. A caller that returns too early
-    /// or too late has none.
+    /// Uses up the promise of a request that has returned in time and is sent to a server. A caller that returns too
+    /// early or too late has none.
     pub fn take(&mut self, request: Fingerprint, now: Millis) -> Option<Return> {
         let taken = self.end_due(request, now)?;
         self.counts.kept += 1;
@@ -143,8 +144,8 @@
         expired
     }
 
-    /// Returns the next notices to the peers, at most `max`. Each promise has a second one after a second, or half of the
-    /// time until the return if that is earlier, because messages may be lost.
+    /// Returns the next notices to the peers, at most `max`. Each promise has a second one after a second, or half of
+    /// the time until the return if that is earlier, because messages may be lost.
     pub fn report(&mut self, max: usize, now: Millis) -> Vec<ReturnNotice> {
         let promises = &self.promises;
         let notice = |id: PromiseId| {
--- a/core/src/serving/returns/notices.rs
+++ b/core/src/serving/returns/notices.rs
@@ -6,8 +6,8 @@
 use super::promises::PromiseId;
 use crate::ids::Millis;
 
-/// Maximum time between a notice and its repetition. Promises that are due earlier are repeated earlier, as a repetition
-/// after the return would be useless.
+/// Maximum time between a notice and its repetition. Promises that are due earlier are repeated earlier, as a
+/// repetition after the return would be useless.
 const MAX_REPEAT_INTERVAL: Millis = Millis(1_000);
 
 /// Maximum number of promises whose first notice is yet to be sent, and of those to be repeated.
@@ -35,8 +35,8 @@
 }
 
 impl NoticeQueue {
-    /// Adds a promise. If the queue is full, the oldest is dropped, because its caller usually returns first and a notice
-    /// must arrive before that.
+    /// Adds a promise. If the queue is full, the oldest is dropped, because its caller usually returns first and a
+    /// notice must arrive before that.
     pub(super) fn push(&mut self, id: PromiseId, due_at: Millis, now: Millis) {
         if now >= due_at {
             return;
--- a/core/src/serving/returns/positions.rs
+++ b/core/src/serving/returns/positions.rs
@@ -4,8 +4,8 @@
 
 use crate::ids::Millis;
 
-/// Time between promises while no usable rate is known, as on a gateway that has just started. Its callers then return one
-/// a second, rather than all within the same second.
+/// Time between promises while no usable rate is known, as on a gateway that has just started. Its callers then return
+/// one a second, rather than all within the same second.
 const DEFAULT_SPACING: Spacing = Spacing(1_000_000);
 
 /// Minimum number of services before those without promises in the future are removed.
--- a/core/src/serving/returns/promises.rs
+++ b/core/src/serving/returns/promises.rs
@@ -8,8 +8,8 @@
 /// Maximum number of promises on record, over all services.
 const MAX_PROMISES: usize = 4_096;
 
-/// Time for which the end of a promise is kept, so that a late notice does not restore it: a notice is repeated after up
-/// to a second, and datagrams that are delayed by more than some seconds are rare.
+/// Time for which the end of a promise is kept, so that a late notice does not restore it: a notice is repeated after
+/// up to a second, and datagrams that are delayed by more than some seconds are rare.
 const ENDED_RETENTION: Millis = Millis(6_000);
 
 /// A promise that was used up by the return of its caller.
--- a/core/tests/returns.rs
+++ b/core/tests/returns.rs
@@ -364,8 +364,8 @@
 }
 
 /// Documents which share of returns is recognized if each gateway makes a number of promises per second and may spend
-/// 7,000 bytes per second on notices. Those to all peers exceed that at a few promises per second, so that only a random
-/// part of the peers gets them. Guards against a schedule that sends more notices for the same promises.
+/// 7,000 bytes per second on notices. Those to all peers exceed that at a few promises per second, so that only a
+/// random part of the peers gets them. Guards against a schedule that sends more notices for the same promises.
 #[test]
 fn known_share_within_byte_budget() {
     let fleets = [
@@ -389,8 +389,8 @@
     }
 }
 
-/// Guards against gateways that need the state of others: after all were replaced, callers are new, and promises are made
-/// as before.
+/// Guards against gateways that need the state of others: after all were replaced, callers are new, and promises are
+/// made as before.
 #[test]
 fn all_gateways_new_treat_callers_as_new() {
     let mut old = ReturnSchedule::default();
@@ -431,8 +431,8 @@
     assert_eq!(returns.take_counts(), ReturnCounts { broken: 2, ..ReturnCounts::default() });
 }
 
-/// Guards against a promise that one of several equal requests uses for another: each has its own place, also if a customer
-/// sends many at once.
+/// Guards against a promise that one of several equal requests uses for another: each has its own place, also if a
+/// customer sends many at once.
 #[test]
 fn equal_requests_have_a_promise_each() {
     let (mut returns, request) = (ReturnSchedule::default(), Fingerprint(1));
--- a/gateway/src/returns_tests.rs
+++ b/gateway/src/returns_tests.rs
@@ -33,8 +33,8 @@
     assert_eq!(notices, [0, 7, 60_000, 65_535].map(notice));
 }
 
-/// Guards against notices that displace load reports from a datagram. With 24 notices of at most 21 bytes, 120 reports fit
-/// into a message; those of 200 servers do not.
+/// Guards against notices that displace load reports from a datagram. With 24 notices of at most 21 bytes, 120 reports
+/// fit into a message; 190 do not.
 #[test]
 fn notices_do_not_displace_load_reports() {
     let length = |m: &PeerMessage| postcard::to_stdvec(m).unwrap().len();
@@ -52,8 +52,8 @@
     assert!(length(&returns) <= 24 * 21 + 16, "{}", length(&returns));
 }
 
-/// Guards against messages of a version with fewer or more fields that are read with wrong values: the former are unreadable,
-/// which is counted, and further fields are ignored.
+/// Guards against messages of a version with fewer or more fields that are read with wrong values: the former are
+/// unreadable, which is counted, and further fields are ignored.
 #[test]
 fn messages_of_other_versions_are_unreadable_or_cut() {
     let message = PeerMessage { unreached: vec![7], ..PeerMessage::default() };
