--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -16,6 +16,7 @@
 mod feed_positions;
 mod fingerprint;
 mod health;
+mod idle_connections;
 mod idle_timeout;
 mod interrupted_runs;
 mod leaving;
@@ -54,6 +55,7 @@
 pub use feed_positions::FeedPositions;
 pub use fingerprint::Fingerprint;
 pub use health::{Fault, HealthPolicy, ServerHealth};
+pub use idle_connections::{ConnectionKey, ConnectionReusePolicy, IdleConnections, KeepAlive};
 pub use idle_timeout::IdleTimeout;
 pub use interrupted_runs::{BrokenRun, EndedRun, InterruptedRuns};
 pub use leaving::LeavingServers;
