feat(gateway): pool of idle connections to servers

With the setting connection_reuse, which is off by default, a connection is kept after a complete response with a marked end and a request id. Only requests that may run more than once, and that have a send left, use it; all others get a new connection.

If a reused connection turns out to be closed, the request is sent once more to the same server on a new one. This takes a retry from the budget and counts as a send, unless no part of the request was written. A response without the request's id on a reused connection is dropped with the connection. Connections to servers that are gone, leaving, draining, ejected or restarted are closed.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -1,19 +1,24 @@
 //! One attempt of a request at one backend server.
 
 use std::pin::pin;
+use std::rc::Rc;
 
 use bytes::Bytes;
+use http::Request;
 use http::header::CONTENT_ENCODING;
-use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
-use redwingfold_core::{Awaited, BackendServer, EventId, Idempotency, Millis, SilenceWatch};
+use redwingfold_core::{
+    Awaited, BackendServer, EventId, Idempotency, KeepAlive, Millis, SilenceWatch,
+};
 
 use crate::clock::within;
+use crate::connection_pool::reusable_for;
+use crate::gateway::Gateway;
 use crate::load::InFlightGuard;
 use crate::metadata::{AttemptMetadata, ReportedLoad, ResponseMetadata};
 use crate::request::InFlightRequest;
-use crate::upstream::{CallError, HttpConnection, error_chain};
+use crate::upstream::{HttpConnection, SendError, error_chain};
 
 /// Interval of the checks whether a server that owes a response is silent.
 pub(crate) const SILENCE_POLL_INTERVAL: Millis = Millis(200);
@@ -26,15 +31,32 @@
     Lost(String),
     /// The server reports that it did not run the request.
     NotRun(String),
+    /// The reused connection was closed, and no part of the request was written.
+    NotWritten(String),
     /// The address now belongs to a different server, which did not run the request.
     OtherServer,
     /// The server was silent for so long that the request is retried at another one; the retry budget has been charged.
     Silent,
+    /// The reused connection was closed before a response. The request may have been written; most likely the server had
+    /// closed the connection before it arrived.
+    Stale(String),
     /// Nothing was sent.
     Unreachable(String),
 }
 
-/// A response whose head was received. Dropping it closes the connection, which makes the server stop its work.
+/// Which connection an attempt uses.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ConnectionSource {
+    /// A kept connection if the request may use one, otherwise a new one.
+    Any,
+    /// A new one, as a reused connection was closed.
+    New,
+    /// A new one, as a reused connection was closed before the request was written; the send is already counted.
+    NewAfterNotWritten,
+}
+
+/// A response whose head was received. Dropping it closes the connection, which makes the server stop its work, unless the
+/// connection was released after the end of the response.
 pub(crate) struct UpstreamResponse {
     pub(crate) head: http::response::Parts,
     pub(crate) metadata: ResponseMetadata,
@@ -45,7 +67,10 @@
     /// Time from the send to the head.
     pub(crate) time_to_first_byte: Millis,
     body: Incoming,
-    _connection: HttpConnection,
+    /// `None` once released.
+    connection: Option<HttpConnection>,
+    /// How long the connection may be kept after this response; `None` if it may not.
+    keep_alive: Option<KeepAlive>,
 }
 
 /// Result of reading from a body.
@@ -64,6 +89,14 @@
         self.metadata.load.map_or(0.0, per_slot)
     }
 
+    /// Gives the connection to the pool. Must be called only after [`BodyRead::End`], as the server would not notice that
+    /// the response is no longer wanted.
+    pub(crate) fn release_connection(&mut self, gw: &Rc<Gateway>) {
+        if let (Some(keep_alive), Some(connection)) = (self.keep_alive, self.connection.take()) {
+            gw.keep_connection(&self.server, connection, keep_alive);
+        }
+    }
+
     /// Reads the next chunk of the body.
     pub(crate) async fn read_next(&mut self) -> BodyRead {
         loop {
@@ -88,34 +121,32 @@
         server: &BackendServer,
         prefill_wait: Millis,
         resume_after: Option<EventId>,
+        source: ConnectionSource,
     ) -> AttemptOutcome {
         let gw = self.gw.clone();
-        gw.record_send_turn(server);
-        let limit = gw.connect_timeout.get().timeout().min(self.time_left());
-        let connecting_at = gw.now();
-        gw.loads.record_connect_attempt(server, connecting_at);
-        let connected = HttpConnection::connect(&gw.executor, server.addr, limit).await;
-        let mut connection = match connected {
-            Ok(connection) => connection,
-            Err(e) => {
-                if e.is_timeout() {
-                    gw.record_connect_time(None);
-                }
-                if e.is_refused() {
-                    gw.record_server_gone(&server.id);
-                }
-                return AttemptOutcome::Unreachable(e.to_string());
-            }
+        let is_counted = source == ConnectionSource::NewAfterNotWritten;
+        if !is_counted {
+            gw.record_send_turn(server);
+        }
+        let kept = self.take_kept_connection(server, source);
+        let is_reused = kept.is_some();
+        let mut connection = match kept {
+            Some(connection) => connection,
+            None => match self.connect(server).await {
+                Ok(connection) => connection,
+                Err(outcome) => return outcome,
+            },
         };
-        gw.record_connect_time(Some(gw.now().since(connecting_at)));
         let time_left = self.time_left();
         if time_left == Millis(0) {
             return AttemptOutcome::Unreachable("no time is left".to_owned());
         }
         let req = self.attempt_request(server, time_left, resume_after);
         let sent_at = gw.now();
-        gw.count_send_to_unavailable(server);
-        self.record_send(server);
+        if !is_counted {
+            gw.count_send_to_unavailable(server);
+            self.record_send(server);
+        }
         let prefill_time = self.prefill_time(self.size.unwrap_or(0));
         let expected = prefill_wait.after(prefill_time).after(self.prefill_work(self.size).shared);
         let runs = self.runs(sent_at);
@@ -123,14 +154,23 @@
             gw.loads.record_send(server, prefill_time, runs, gw.interrupted_runs.clone());
         self.run_state = redwingfold_core::RunState::MayHaveRun;
         self.sends += 1;
-        let answered = self.wait_for_head(connection.send(req), server, expected).await;
+        let answered = self.wait_for_head(connection.try_send(req), server, expected).await;
         let (head, body) = match answered {
             Some(Ok(res)) => res.into_parts(),
-            Some(Err(CallError::TimedOut(why) | CallError::Unknown(why))) => {
+            Some(Err(SendError::NotWritten(why))) if is_reused => {
+                in_flight.record_not_run();
+                return AttemptOutcome::NotWritten(why);
+            }
+            Some(Err(SendError::Closed(why))) if is_reused => {
+                self.record_broken_run(server, sent_at).await;
+                return AttemptOutcome::Stale(why);
+            }
+            Some(Err(
+                SendError::NotWritten(why) | SendError::Closed(why) | SendError::Invalid(why),
+            )) => {
                 self.record_broken_run(server, sent_at).await;
                 return AttemptOutcome::Lost(why);
             }
-            Some(Err(e @ CallError::Unreachable(_))) => return AttemptOutcome::Lost(e.to_string()),
             None if self.time_left() == Millis(0) => {
                 return AttemptOutcome::Lost("deadline".to_owned());
             }
@@ -148,7 +188,7 @@
         if let Some(load) = metadata.load {
             gw.loads.record_report(server, load, now);
         }
-        let rejection = self.check_response(&head, &metadata);
+        let rejection = self.check_response(&head, &metadata, is_reused);
         // Invalid responses and responses from a different server must not change this server's records.
         if matches!(rejection, None | Some(AttemptOutcome::NotRun(_))) {
             gw.record_limit(server, metadata.rate_limit);
@@ -163,6 +203,8 @@
             }
             return outcome;
         }
+        // Without a request id, a late response to this request could not be told from one to the next request.
+        let keep_alive = metadata.id.as_ref().and_then(|_| reusable_for(&head, &body));
         AttemptOutcome::Started(Box::new(UpstreamResponse {
             head,
             metadata,
@@ -172,10 +214,48 @@
             sent_at,
             time_to_first_byte: now.since(sent_at),
             body,
-            _connection: connection,
+            connection: Some(connection),
+            keep_alive,
         }))
     }
 
+    /// Returns a kept connection to a server, if there is one that the request may use.
+    ///
+    /// A server may close an idle connection at the moment of the send, so that the request is lost. Only requests that may
+    /// be sent once more may use one, and no trial of a request that is suspected of terminating servers, for which the lost
+    /// connection would count as a termination.
+    fn take_kept_connection(
+        &self,
+        server: &BackendServer,
+        source: ConnectionSource,
+    ) -> Option<HttpConnection> {
+        let may_reuse = source == ConnectionSource::Any
+            && self.is_retryable()
+            && self.sends + 1 < self.route.max_attempts
+            && !self.is_quarantined();
+        if may_reuse { self.gw.take_idle_connection(server) } else { None }
+    }
+
+    /// Connects to a server, and records the result.
+    async fn connect(&self, server: &BackendServer) -> Result<HttpConnection, AttemptOutcome> {
+        let gw = &self.gw;
+        let limit = gw.connect_timeout.get().timeout().min(self.time_left());
+        let connecting_at = gw.now();
+        gw.loads.record_connect_attempt(server, connecting_at);
+        let connected = HttpConnection::connect(&gw.executor, server.addr, limit).await;
+        if let Err(e) = &connected {
+            if e.is_timeout() {
+                gw.record_connect_time(None);
+            }
+            if e.is_refused() {
+                gw.record_server_gone(&server.id);
+            }
+        } else {
+            gw.record_connect_time(Some(gw.now().since(connecting_at)));
+        }
+        connected.map_err(|e| AttemptOutcome::Unreachable(e.to_string()))
+    }
+
     fn attempt_request(
         &self,
         server: &BackendServer,
@@ -203,8 +283,13 @@
         &self,
         head: &http::response::Parts,
         metadata: &ResponseMetadata,
+        is_reused: bool,
     ) -> Option<AttemptOutcome> {
         match metadata {
+            // Some servers send an error without a request before they close an idle connection.
+            f if is_reused && f.id.is_none() => {
+                Some(AttemptOutcome::Lost("answer without a request id".to_owned()))
+            }
             f if f.id.as_ref().is_some_and(|id| *id != self.metadata.id) => {
                 Some(AttemptOutcome::Lost("answer to another request".to_owned()))
             }
@@ -224,12 +309,12 @@
     /// been taken from the budget.
     ///
     /// Without a retry, a silent server is not given up, as that could only lose its response.
-    async fn wait_for_head(
+    async fn wait_for_head<T>(
         &mut self,
-        answered: impl Future<Output = Result<Response<Incoming>, CallError>>,
+        answered: impl Future<Output = T>,
         server: &BackendServer,
         expected: Millis,
-    ) -> Option<Result<Response<Incoming>, CallError>> {
+    ) -> Option<T> {
         let awaited =
             if self.route.stream.is_some() { Awaited::Head(expected) } else { Awaited::Plain };
         let mut watch = SilenceWatch::new(self.gw.now(), SILENCE_POLL_INTERVAL);
--- a/gateway/src/availability.rs
+++ b/gateway/src/availability.rs
@@ -33,6 +33,7 @@
         if is_new {
             // The list cached for other gateways may still contain the server as ready.
             self.encoded_servers.take();
+            self.close_unusable_connections();
         }
         is_new
     }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,6 +17,7 @@
 use smol::LocalExecutor;
 
 use crate::clock::{Clock, within};
+use crate::connection_pool::ConnectionPool;
 use crate::exchange::{EncodedServers, OrderSnapshots};
 use crate::feeds::{Feed, Feeds, ServerChange};
 use crate::load::LoadTable;
@@ -72,6 +73,7 @@
     started_at: Millis,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) loads: LoadTable,
+    pub(crate) pool: ConnectionPool,
     pub(crate) connections: Cell<usize>,
     pub(crate) request_body_bytes: Cell<usize>,
     pub(crate) in_flight: Cell<usize>,
@@ -140,6 +142,7 @@
         let rollouts = Rollouts::new(settings.canary, settings.session_retention);
         let feeds = Feeds::new(settings.feeds);
         let connect_timeout = ConnectTimeout::new(settings.connect_timeout);
+        let pool = ConnectionPool::new(settings.connection_reuse);
         // Many gateways detect the termination of a server at once. A random delay keeps their writes of marks from
         // contending.
         let write_delay = settings.quarantine.write_delay;
@@ -153,6 +156,7 @@
             started_at: Clock.now(),
             executor,
             loads: LoadTable::default(),
+            pool,
             connections: Cell::new(0),
             request_body_bytes: Cell::new(0),
             in_flight: Cell::new(0),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -271,6 +271,7 @@
     loads.leaving.iter().for_each(|server| gw.apply_peer_leaving(from, *server));
     for server in gw.loads.apply_peer_update(from, loads, fleet, now) {
         gw.log_unreachable_server(server, Some(from));
+        gw.close_unusable_connections();
     }
     if let Some(orders) = message.orders {
         gw.apply_orders_update(from, orders.into());
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,9 @@
 mod availability;
 mod clock;
 mod cold;
+mod connection_pool;
+#[cfg(test)]
+mod connection_pool_tests;
 mod discovery;
 mod evacuation;
 mod exchange;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -126,6 +126,7 @@
                 }
                 RelayStep::Body(BodyRead::End) => {
                     response.in_flight.record_completion();
+                    response.release_connection(&self.request.gw);
                     return Ok(StreamEnd::Complete);
                 }
                 RelayStep::Body(BodyRead::Chunk(chunk)) => chunk,
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -10,7 +10,7 @@
     is_in_first_half,
 };
 
-use crate::attempt::{AttemptOutcome, BodyRead, UpstreamResponse};
+use crate::attempt::{AttemptOutcome, BodyRead, ConnectionSource, UpstreamResponse};
 use crate::clock::within;
 use crate::fingerprint::suspect_keys;
 use crate::gateway::Gateway;
@@ -202,15 +202,22 @@
         &mut self,
         resume_after: Option<EventId>,
     ) -> Result<Box<UpstreamResponse>, RequestError> {
+        let mut resend = None;
         loop {
             self.check_deadline()?;
             Box::pin(self.check_quarantine()).await?;
-            let (server, prefill_wait) = self.choose_server_in_turn().await?;
+            let (server, prefill_wait, source) = match resend.take() {
+                Some(resend) => resend,
+                None => {
+                    let (server, prefill_wait) = self.choose_server_in_turn().await?;
+                    (server, prefill_wait, ConnectionSource::Any)
+                }
+            };
             if !self.is_send_admitted() {
                 continue;
             }
             let run_before = self.run_state;
-            let outcome = Box::pin(self.attempt(&server, prefill_wait, resume_after)).await;
+            let outcome = Box::pin(self.attempt(&server, prefill_wait, resume_after, source)).await;
             self.log_attempt(&server, &outcome);
             match outcome {
                 AttemptOutcome::Started(response) => {
@@ -237,6 +244,18 @@
                         return Err(self.overloaded_error(why));
                     }
                 }
+                AttemptOutcome::NotWritten(_) => {
+                    self.run_state = run_before;
+                    self.sends -= 1;
+                    resend = Some((server, prefill_wait, ConnectionSource::NewAfterNotWritten));
+                }
+                AttemptOutcome::Stale(why) => {
+                    self.check_deadline()?;
+                    if !self.try_retry() {
+                        return Err(RequestError::new(ErrorKind::BackendLost, why));
+                    }
+                    resend = Some((server, prefill_wait, ConnectionSource::New));
+                }
                 AttemptOutcome::Silent => {
                     self.record_failure(&server, Fault::Lost);
                 }
@@ -329,6 +348,7 @@
             let why = match self.read_whole_body(&mut response).await {
                 Ok(bytes) => {
                     response.in_flight.record_completion();
+                    response.release_connection(&self.gw);
                     self.outcome = format!("status_{}", response.head.status.as_u16());
                     if proves_completion(response.head.status) {
                         self.gw.record_completion(&self.suspect_keys);
@@ -394,6 +414,7 @@
         self.record_failure(server, Fault::Lost);
         let fleet = self.gw.with_feeds(|feeds| feeds.fleet_size());
         if self.gw.loads.record_connect_failure(server, fleet, self.gw.now()) {
+            self.gw.close_idle_connections(&server.id);
             self.gw.log_unreachable_server(id_hash(&server.id), None);
         }
         match self.connect_failures {
@@ -425,6 +446,7 @@
         self.excluded_servers.push(server.id.clone());
         let now = self.gw.now();
         if self.gw.loads.record_failure(server, fault, &self.gw.settings.health, now) {
+            self.gw.close_idle_connections(&server.id);
             self.gw.telemetry.warn(
                 "server_left_out",
                 &[("server", &server.id), ("service", &server.service), ("addr", &server.addr)],
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -12,11 +12,19 @@
             AttemptOutcome::Started(_) => return,
             AttemptOutcome::Lost(why) => ("lost", why.as_str()),
             AttemptOutcome::NotRun(why) => ("not_run", why.as_str()),
+            AttemptOutcome::NotWritten(why) => ("not_written", why.as_str()),
             AttemptOutcome::OtherServer => ("other_server", ""),
             AttemptOutcome::Silent => ("silent", ""),
+            AttemptOutcome::Stale(why) => ("stale", why.as_str()),
             AttemptOutcome::Unreachable(why) => ("unreachable", why.as_str()),
         };
-        self.gw.telemetry.count(&format!("attempt.{what}"), 1);
+        let counter = match outcome {
+            AttemptOutcome::NotWritten(_) | AttemptOutcome::Stale(_) => {
+                "connection.stale".to_owned()
+            }
+            _ => format!("attempt.{what}"),
+        };
+        self.gw.telemetry.count(&counter, 1);
         self.gw.telemetry.info(
             "attempt_failed",
             &[
--- a/gateway/src/server_list.rs
+++ b/gateway/src/server_list.rs
@@ -32,6 +32,7 @@
         if self.registry.borrow_mut().put(server, now) == PutOutcome::Restarted {
             self.reset_restarted_server(&id);
         }
+        self.close_unusable_connections();
     }
 
     /// Discards the load and health of a server's previous incarnation, and records that it terminated.
@@ -46,6 +47,7 @@
         self.telemetry.info("server_removed", &[("server", id)]);
         self.record_server_lapse(id);
         self.registry.borrow_mut().remove(id, self.now());
+        self.close_idle_connections(id);
     }
 
     /// Applies changes in the list of backend servers.
@@ -108,6 +110,7 @@
 
     fn finish_list_update(&self, restarted: &[BackendId]) {
         restarted.iter().for_each(|id| self.reset_restarted_server(id));
+        self.close_unusable_connections();
         self.is_registry_known.set(true);
         self.state_changed.notify(usize::MAX);
     }
@@ -121,6 +124,7 @@
     pub fn expire_servers(&self) {
         for id in self.registry.borrow_mut().expire(self.now()) {
             self.loads.forget(&id);
+            self.close_idle_connections(&id);
             self.telemetry.info("server_gone", &[("server", &id)]);
         }
     }
--- a/gateway/src/server_probe.rs
+++ b/gateway/src/server_probe.rs
@@ -62,6 +62,7 @@
 
     /// Records that a server terminated: it refuses connections, or has restarted.
     pub(crate) fn record_server_end(&self, id: &BackendId) {
+        self.close_idle_connections(id);
         let runs = self.interrupted_runs.borrow_mut().record_end(id, self.now());
         self.record_ended_runs(id, &runs);
     }
@@ -69,6 +70,7 @@
     /// Records that a server's address refuses connections or belongs to a different server. Ignored unless the server's
     /// record is ready, as a server that announced its shutdown is expected to be gone.
     pub(crate) fn record_server_gone(&self, id: &BackendId) {
+        self.close_idle_connections(id);
         if self.is_ready_server(id) {
             self.record_server_end(id);
         }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,8 +1,8 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    CanaryPolicy, ColdPolicy, HealthPolicy, LimitPolicy, Millis, PlacementPolicy, QuarantinePolicy,
-    SilencePolicy, SizePolicy, UrgencyPolicy,
+    CanaryPolicy, ColdPolicy, ConnectionReusePolicy, HealthPolicy, LimitPolicy, Millis,
+    PlacementPolicy, QuarantinePolicy, SilencePolicy, SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -26,6 +26,8 @@
     pub session_retention: Millis,
     /// Maximum timeout of connecting to a backend server.
     pub connect_timeout: Millis,
+    /// Whether and how long idle connections to backend servers are kept.
+    pub connection_reuse: ConnectionReusePolicy,
     /// Maximum size of a response that is buffered before it is forwarded, in bytes; the limit on request bodies applies if
     /// it is larger.
     pub max_buffered_response_bytes: usize,
@@ -73,6 +75,7 @@
             // Round trips within a region take a few milliseconds. The kernel retransmits a lost SYN only after a
             // second, which is too long for most calls.
             connect_timeout: Millis(250),
+            connection_reuse: ConnectionReusePolicy::default(),
             max_buffered_response_bytes: 256 * 1024,
             canary: CanaryPolicy::default(),
             health: HealthPolicy::default(),
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -1,4 +1,4 @@
-//! HTTP client connections. There is no pool; callers keep a connection if they reuse it.
+//! HTTP client connections.
 
 use std::fmt;
 use std::io;
@@ -51,6 +51,28 @@
     }
 }
 
+/// Why a request on a connection has no response head.
+#[derive(Debug)]
+pub(crate) enum SendError {
+    /// The connection was closed before any part of the request was written.
+    NotWritten(String),
+    /// The connection was closed or broke off before a response; the request may have been written.
+    Closed(String),
+    /// The server sent no valid response head.
+    Invalid(String),
+}
+
+impl SendError {
+    fn from_hyper(e: &hyper::Error, is_unsent: bool) -> Self {
+        let why = error_chain(e);
+        match () {
+            () if is_unsent => Self::NotWritten(why),
+            () if e.is_parse() || e.is_parse_too_large() => Self::Invalid(why),
+            () => Self::Closed(why),
+        }
+    }
+}
+
 /// A connection to a server. Dropping it closes it, which makes the server stop working on its request.
 #[derive(Debug)]
 pub struct HttpConnection {
@@ -92,6 +114,29 @@
         self.tx.send_request(req).await.map_err(|e| CallError::Unknown(error_chain(&e)))
     }
 
+    /// Sends a request like [`HttpConnection::send`], and tells whether it was written.
+    pub(crate) async fn try_send(
+        &mut self,
+        req: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, SendError> {
+        self.tx.try_send_request(req).await.map_err(|mut e| {
+            // The request is returned only if it was not passed to the connection.
+            let is_unsent = e.take_message().is_some();
+            SendError::from_hyper(e.error(), is_unsent)
+        })
+    }
+
+    /// Waits until a request can be sent, and returns `false` if the connection ends instead: the server has closed it, or
+    /// has sent bytes beyond its response.
+    pub(crate) async fn ready(&mut self) -> bool {
+        self.tx.ready().await.is_ok()
+    }
+
+    /// Returns whether a request can be sent now.
+    pub(crate) fn is_ready(&self) -> bool {
+        self.tx.is_ready()
+    }
+
     /// Sends a request and returns a reader for the response, whose body may have up to `max` bytes, with no pause longer
     /// than `idle_timeout`.
     ///
