test(platform): connections to engines are reused only where it is safe

The settings file gets a field for tests, connection_reuse, false by default. The engine stand-in can keep a connection open after raw bytes, write unrequested bytes, close its connections and count them.

--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -42,6 +42,8 @@
     Delayed(Duration, u16, Vec<u8>),
     /// Writes these bytes and closes the connection.
     RawBytes(Vec<u8>),
+    /// Writes these bytes and keeps the connection open.
+    RawBytesOpen(Vec<u8>),
     /// Runs it and crashes after a delay, even if the caller has disconnected: all connections break, and the engine
     /// stops listening.
     Crash(Duration),
@@ -167,6 +169,7 @@
     addr: SocketAddr,
     listener: Mutex<Option<TcpListener>>,
     open: Mutex<HashMap<u64, TcpStream>>,
+    accepted: AtomicUsize,
     is_down: AtomicBool,
 }
 
@@ -174,6 +177,7 @@
     /// Registers a connection, to be closed by a crash; returns `false` if the engine has crashed already.
     fn track(&self, number: u64, stream: &TcpStream) -> bool {
         let mut open = self.open.lock().unwrap_or_else(PoisonError::into_inner);
+        self.accepted.fetch_add(1, Ordering::SeqCst);
         open.extend(stream.try_clone().map(|stream| (number, stream)));
         !self.is_down.load(Ordering::SeqCst)
     }
@@ -236,6 +240,7 @@
             addr,
             listener: Mutex::new(Some(listener.try_clone().expect("a socket"))),
             open: Mutex::default(),
+            accepted: AtomicUsize::new(0),
             is_down: AtomicBool::new(false),
         };
         let engine = Self {
@@ -270,6 +275,34 @@
         self.sockets.is_down.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of connections that it has accepted so far.
+    pub fn accepted_connections(&self) -> usize {
+        self.sockets.accepted.load(Ordering::SeqCst)
+    }
+
+    /// Returns the number of its open connections.
+    pub fn open_connections(&self) -> usize {
+        self.sockets.open.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    /// Writes bytes to all open connections.
+    ///
+    /// # Panics
+    ///
+    /// If a connection is broken.
+    pub fn write_unrequested(&self, bytes: &[u8]) {
+        let open = self.sockets.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.values().for_each(|mut stream| stream.write_all(bytes).expect("an open connection"));
+    }
+
+    /// Closes all connections in order, and continues to listen.
+    pub fn close_connections(&self) {
+        let open = self.sockets.open.lock().unwrap_or_else(PoisonError::into_inner);
+        open.values().for_each(|stream| {
+            stream.shutdown(Shutdown::Both).ok();
+        });
+    }
+
     /// Closes all connections and stops listening.
     pub fn crash(&self) {
         self.sockets.close();
@@ -433,6 +466,7 @@
                 writer.write_all(&bytes)?;
                 return Ok(false);
             }
+            Plan::RawBytesOpen(bytes) => writer.write_all(&bytes)?,
             Plan::Crash(pause) => {
                 std::thread::sleep(pause);
                 self.crash();
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -165,6 +165,8 @@
     folder: PathBuf,
     /// `bounds` settings that differ from the defaults.
     pub bounds: Value,
+    /// Whether its gateways reuse idle connections to engines.
+    pub connection_reuse: bool,
     /// Region of each failure domain, as in the settings files.
     pub regions: Value,
     /// Loopback address of its gateways, which no other fleet uses.
@@ -195,6 +197,7 @@
             program: Path::new(program).to_owned(),
             folder,
             bounds: json!({}),
+            connection_reuse: false,
             regions: json!({"hall-1": "region-1"}),
             ip: fleet_address(n),
             ports: Vec::new(),
@@ -374,6 +377,7 @@
             "limits": {"memory_mb": 200, "max_fds": 2000},
             "bounds": merged(bounds, &self.bounds),
             "platform": {"address": store.to_string()},
+            "connection_reuse": self.connection_reuse,
         })
         .to_string()
     }
