test(gateway): closed and ending connections are told before the send

A kept connection whose end the gateway has not noticed must not cost a retry: a test shows that nothing is written to it.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -6,6 +6,7 @@
 use bytes::Bytes;
 use http::Request;
 use http::header::CONTENT_ENCODING;
+use http_body::Body;
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use redwingfold_core::{
@@ -204,7 +205,8 @@
             return outcome;
         }
         // Without a request id, a late response to this request could not be told from one to the next request.
-        let keep_alive = metadata.id.as_ref().and_then(|_| reusable_for(&head, &body));
+        let length = body.size_hint().exact();
+        let keep_alive = metadata.id.as_ref().and_then(|_| reusable_for(&head, length));
         AttemptOutcome::Started(Box::new(UpstreamResponse {
             head,
             metadata,
--- a/gateway/src/connection_pool.rs
+++ b/gateway/src/connection_pool.rs
@@ -5,8 +5,6 @@
 
 use http::header::{CONNECTION, TRANSFER_ENCODING};
 use http::{HeaderMap, StatusCode, Version, response};
-use http_body::Body;
-use hyper::body::Incoming;
 use redwingfold_core::{
     BackendId, BackendServer, ConnectionKey, ConnectionReusePolicy, IdleConnections, KeepAlive,
     Millis, ServerState,
@@ -114,12 +112,13 @@
     }
 }
 
-/// Returns how long the connection of a response may be kept; `None` if the response ends it.
+/// Returns how long the connection of a response may be kept; `None` if the response ends it. `length` is the length of its
+/// body, if known.
 ///
 /// The end of a response must be marked by its length or by chunks, because a response that ends with its connection leaves
 /// none.
-pub(crate) fn reusable_for(head: &response::Parts, body: &Incoming) -> Option<KeepAlive> {
-    let has_end = body.size_hint().exact().is_some() || is_chunked(&head.headers);
+pub(crate) fn reusable_for(head: &response::Parts, length: Option<u64>) -> Option<KeepAlive> {
+    let has_end = length.is_some() || is_chunked(&head.headers);
     let is_reusable = head.version == Version::HTTP_11
         && head.status != StatusCode::SWITCHING_PROTOCOLS
         && has_end
--- a/gateway/src/connection_pool_tests.rs
+++ b/gateway/src/connection_pool_tests.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use http::{HeaderMap, StatusCode};
+use bytes::Bytes;
+use http::{HeaderMap, Request, Response, StatusCode, Version};
+use http_body_util::Full;
 use redwingfold_core::{
     BackendServer, ConnectionReusePolicy, Fault, Incarnation, KeepAlive, Millis, ServerState,
 };
@@ -11,10 +13,11 @@
 use smol::LocalExecutor;
 use smol::net::TcpListener;
 
+use crate::connection_pool::reusable_for;
 use crate::gateway::{Gateway, StoreCopy};
 use crate::metadata::{AttemptMetadata, HeaderCodec, RequestMetadata, ResponseMetadata};
 use crate::settings::GatewaySettings;
-use crate::upstream::HttpConnection;
+use crate::upstream::{HttpConnection, SendError};
 
 const CONNECT_TIMEOUT: Millis = Millis(5_000);
 
@@ -48,6 +51,58 @@
     ))
 }
 
+/// Guards against a call that is lost, or takes a retry from the budget, because the server closed the kept connection and
+/// the gateway has not noticed it by the time of the send. Nothing is written then.
+#[test]
+fn request_is_not_written_to_a_connection_that_was_closed_unnoticed() {
+    let executor = Rc::new(LocalExecutor::new());
+    smol::block_on(executor.run(async {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).await.expect("a free port");
+        let addr = listener.local_addr().expect("an address");
+        let connected = HttpConnection::connect(&executor, addr, CONNECT_TIMEOUT).await;
+        let mut connection = connected.expect("a connection");
+        let (accepted, _) = listener.accept().await.expect("a connection");
+        assert!(connection.ready().await);
+        drop(accepted);
+        assert!(connection.is_ready(), "the closed connection has not been noticed");
+        let sent = connection.try_send(Request::new(Full::<Bytes>::default())).await;
+        assert!(matches!(sent, Err(SendError::NotWritten(_))), "{sent:?}");
+    }));
+}
+
+/// Guards against a connection that is kept although its server closes it after the response, or the end of the response is
+/// not marked. The HTTP library closes most of these itself.
+#[test]
+fn connection_that_ends_with_its_response_is_not_reusable() {
+    type Case<'a> = (&'a [(&'static str, &'static str)], Version, u16, Option<u64>, bool);
+    let cases: [Case<'_>; 10] = [
+        (&[], Version::HTTP_11, 200, Some(5), true),
+        (&[("transfer-encoding", "Chunked")], Version::HTTP_11, 200, None, true),
+        (&[("connection", "x-any, keep-alive")], Version::HTTP_11, 200, Some(5), true),
+        (&[], Version::HTTP_11, 200, None, false),
+        (&[("transfer-encoding", "chunked, gzip")], Version::HTTP_11, 200, None, false),
+        (&[("connection", "close")], Version::HTTP_11, 200, Some(5), false),
+        (&[("connection", "x-any, Close")], Version::HTTP_11, 200, Some(5), false),
+        (
+            &[("connection", "x-any"), ("connection", "close")],
+            Version::HTTP_11,
+            200,
+            Some(5),
+            false,
+        ),
+        (&[("connection", "keep-alive")], Version::HTTP_10, 200, Some(5), false),
+        (&[], Version::HTTP_11, 101, Some(0), false),
+    ];
+    for (headers, version, status, length, is_reusable) in cases {
+        let mut response = Response::builder().version(version).status(status);
+        for (name, value) in headers {
+            response = response.header(*name, *value);
+        }
+        let (head, ()) = response.body(()).expect("a response").into_parts();
+        assert_eq!(reusable_for(&head, length).is_some(), is_reusable, "{head:?}");
+    }
+}
+
 /// Returns whether a connection that was released before `event` is still available to the next request after it.
 fn is_kept_after(is_enabled: bool, event: impl Fn(&Gateway, &BackendServer)) -> bool {
     let executor = Rc::new(LocalExecutor::new());
