--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -18,6 +18,7 @@
 mod fingerprint;
 mod headroom;
 mod health;
+mod idle_connections;
 mod idle_timeout;
 mod interrupted_runs;
 mod leaving;
@@ -64,6 +65,7 @@
     Headroom, HeadroomPolicy, HeadroomPressure, LoadSample, Run, RunTimes, ServerFacts,
 };
 pub use health::{Fault, HealthPolicy, ServerHealth};
+pub use idle_connections::{ConnectionKey, ConnectionReusePolicy, IdleConnections, KeepAlive};
 pub use idle_timeout::IdleTimeout;
 pub use interrupted_runs::{BrokenRun, EndedRun, InterruptedRuns};
 pub use leaving::LeavingServers;
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -293,6 +293,7 @@
     loads.leaving.iter().for_each(|server| gw.apply_peer_leaving(from, *server));
     for server in gw.loads.apply_peer_update(from, loads, fleet, now) {
         gw.log_unreachable_server(server, Some(from));
+        gw.close_unusable_connections();
     }
     gw.apply_peer_returns(message.returns.into_iter().map(Into::into));
     if let Some(orders) = message.orders {
