feat(gateway): admit requests by the estimated capacity of the servers

Cause: each request was sent at once and waited at its server; what could not be served in time ran into its deadline, and refused callers returned as strangers. Change: where admission control is on, a request is sent while there is capacity, waits in order of rank, promise and share, or is refused at once with a promised time to return. Connections to servers are reused there as well.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -67,7 +67,7 @@
     Return, ReturnCounts, ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route,
     RouteEvidence, RouteName, Run, RunTimes, SendCounts, SendTurns, ServerFacts, ServerHealth,
     ServerLimits, ServerOrder, ServerReport, ServerState, Service, ServiceName, SessionKey,
-    SilencePolicy, SilenceWatch, SizePolicy, StreamRules, StreamTimes, SuspectTrial,
+    SilencePolicy, SilenceWatch, SizePolicy, StartRate, StreamRules, StreamTimes, SuspectTrial,
     UnreachableServers, UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work,
     is_compacted_read_shorter, is_in_first_half, lead_servers, place,
 };
--- a/core/src/serving/admission/mod.rs
+++ b/core/src/serving/admission/mod.rs
@@ -4,10 +4,12 @@
 mod decision;
 mod queue;
 mod server_order;
+mod start_rate;
 
 pub use decision::{AdmissionDecision, AdmissionPolicy, Capacity};
 pub use queue::{QueueFull, WaitQueue, Waiting};
 pub use server_order::ServerOrder;
+pub use start_rate::StartRate;
 
 use super::catalog::Priority;
 use crate::ids::Millis;
--- a/core/src/serving/catalog.rs
+++ b/core/src/serving/catalog.rs
@@ -68,6 +68,23 @@
     pub max_gap: Millis,
 }
 
+impl StreamRules {
+    /// Shortest time for which callers wait for an event.
+    const MIN_PATIENCE: Millis = Millis(2_000);
+
+    /// Returns the longest gap after which the caller of a stream with this latency target gives up.
+    ///
+    /// ```
+    /// use redwingfold_core::{Millis, StreamRules};
+    /// let rules = StreamRules { resumable: true, max_gap: Millis(600) };
+    /// assert_eq!(rules.patience(Millis(1_000)), Millis(4_800));
+    /// ```
+    pub fn patience(&self, latency_target: Millis) -> Millis {
+        let by_target = Millis(latency_target.0.saturating_mul(4));
+        Self::MIN_PATIENCE.max(by_target).max(Millis(self.max_gap.0.saturating_mul(8)))
+    }
+}
+
 /// Whether a request may run more than once.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Idempotency {
--- a/core/src/serving/headroom/mod.rs
+++ b/core/src/serving/headroom/mod.rs
@@ -49,6 +49,28 @@
     pub age: Millis,
 }
 
+impl LoadSample {
+    /// Returns the load that is left of the report, after the completions that are expected since it was made.
+    ///
+    /// Load pattern: calls of a few tens of milliseconds at a small service. A gateway hears of its load only in answers
+    /// and, a tenth of a second later, from its peers. By the report alone a server that was full stays full until then,
+    /// although it has completed all that it ran.
+    ///
+    /// ```
+    /// use redwingfold_core::{LoadSample, Millis, Run};
+    /// let run = Run { duration: Millis(60), tokens: 0 };
+    /// let left = |age| LoadSample { running: 6, waiting: 4, age: Millis(age) }.remaining(6, run);
+    /// assert_eq!((left(0).waiting, left(20).waiting, left(50).running, left(100).running), (4, 2, 5, 0));
+    /// ```
+    pub fn remaining(self, slots: u32, run: Run) -> Self {
+        let completed = u64::from(slots) * self.age.0 / run.duration.0.max(1);
+        let completed = u32::try_from(completed).unwrap_or(u32::MAX);
+        let waiting = self.waiting.saturating_sub(completed);
+        let running = self.running.saturating_sub(completed.saturating_sub(self.waiting));
+        Self { running, waiting, ..self }
+    }
+}
+
 /// Capacity of a server or service that this gateway may use now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Headroom {
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -40,8 +40,8 @@
 mod urgency;
 
 pub use admission::{
-    AdmissionDecision, AdmissionPolicy, Capacity, Demand, QueueFull, ServerOrder, WaitQueue,
-    Waiting,
+    AdmissionDecision, AdmissionPolicy, Capacity, Demand, QueueFull, ServerOrder, StartRate,
+    WaitQueue, Waiting,
 };
 pub use allowed_regions::{AllowedRegions, DomainRegions};
 pub use answers::{AnswerCounts, AnswerSums, FleetEvidence, LatencySums, RouteEvidence};
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -1,8 +1,118 @@
-//! Whether decisions under load follow the estimated capacity of the servers.
+//! Admission of requests by the estimated capacity of the servers: which are sent, wait at this gateway or are refused.
 
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
+
+use event_listener::Event;
+use redwingfold_core::{
+    AdmissionDecision, AdmissionPolicy, Capacity, Demand, Fingerprint, Headroom, HeadroomPolicy,
+    Millis, Run, RunTimes, ServerState, ServiceName, StartRate, WaitQueue, Waiting,
+};
+
+use crate::clock::{sleep, within};
 use crate::gateway::Gateway;
 use crate::metadata::ReportedLoad;
 
+/// Interval at which waiting requests are checked against the capacity. It is a seventh of the shortest latency targets.
+const DISPATCH_INTERVAL: Millis = Millis(20);
+
+/// Maximum number of log lines per second on waiting and refused requests.
+const MAX_LOG_LINES_PER_SECOND: u32 = 50;
+
+/// What admission needs to know about a request.
+#[derive(Clone, Debug)]
+pub(crate) struct AdmissionFacts {
+    /// Id of the request, for log lines.
+    pub(crate) request: String,
+    pub(crate) service: ServiceName,
+    /// Hash of the customer's name.
+    pub(crate) customer: u32,
+    /// Fingerprint of the content, by which a caller that returns is recognized.
+    pub(crate) content: Fingerprint,
+    pub(crate) demand: Demand,
+}
+
+/// A request that has ended.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct EndedRequest<'a> {
+    pub(crate) service: &'a ServiceName,
+    /// Hash of the customer's name.
+    pub(crate) customer: u32,
+    /// Time from the first send to the end.
+    pub(crate) took: Millis,
+    pub(crate) tokens: u64,
+}
+
+/// A request that was refused before anything of it was sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Refusal {
+    /// Time after which the caller may return.
+    pub(crate) retry_after: Millis,
+    pub(crate) why: String,
+}
+
+/// Requests of one service that wait at this gateway.
+#[derive(Debug, Default)]
+struct ServiceQueue {
+    waiting: WaitQueue,
+    granted: HashSet<u64>,
+    refused: HashSet<u64>,
+    starts: StartRate,
+}
+
+/// Requests that wait at this gateway, by service.
+#[derive(Debug, Default)]
+pub(crate) struct AdmissionQueues {
+    queues: RefCell<HashMap<ServiceName, ServiceQueue>>,
+    run_times: RefCell<RunTimes>,
+    next_id: Cell<u64>,
+    /// Notified when a waiting request was granted or refused.
+    decided: Event,
+    log_lines: Cell<(Millis, u32)>,
+}
+
+/// Removes a request from its queue when its caller is gone.
+struct WaitingGuard<'a> {
+    gw: &'a Gateway,
+    service: &'a ServiceName,
+    id: u64,
+}
+
+impl Drop for WaitingGuard<'_> {
+    fn drop(&mut self) {
+        self.gw.admissions.with(self.service, |queue| {
+            queue.waiting.remove(self.id);
+            queue.granted.remove(&self.id);
+            queue.refused.remove(&self.id);
+        });
+    }
+}
+
+impl AdmissionQueues {
+    fn with<T>(&self, service: &ServiceName, f: impl FnOnce(&mut ServiceQueue) -> T) -> T {
+        let mut queues = self.queues.borrow_mut();
+        match queues.get_mut(service) {
+            Some(queue) => f(queue),
+            None => f(queues.entry(service.clone()).or_default()),
+        }
+    }
+
+    /// Returns the number of requests that wait at this gateway.
+    fn waiting(&self) -> usize {
+        self.queues.borrow().values().map(|queue| queue.waiting.len()).sum()
+    }
+
+    /// Takes one of the log lines of this second. Returns how many were left out in the last one if it is the first.
+    fn take_log_line(&self, now: Millis) -> bool {
+        let (since, count) = self.log_lines.get();
+        let is_new_second = now.since(since) >= Millis(1_000);
+        let count = if is_new_second { 0 } else { count };
+        self.log_lines.set((if is_new_second { now } else { since }, count + 1));
+        count < MAX_LOG_LINES_PER_SECOND
+    }
+}
+
 impl Gateway {
     /// Returns whether this deployment has contention: its settings say so, or its servers share their hosts.
     pub(crate) fn has_admission_control(&self) -> bool {
@@ -15,4 +125,223 @@
             self.telemetry.info("shared_hosts", &[("slots", &load.slots)]);
         }
     }
+
+    /// Records the duration, size and customer of a request that was sent to servers and has ended.
+    pub(crate) fn record_ended_request(&self, ended: &EndedRequest<'_>) {
+        self.admissions.run_times.borrow_mut().record(ended.service, ended.took, ended.tokens);
+    }
+
+    /// Returns how long a request to a service usually takes at its server.
+    pub(crate) fn expected_duration(&self, service: &ServiceName) -> Millis {
+        self.admissions.run_times.borrow().duration(service)
+    }
+
+    /// Waits until there is capacity for a request and no other goes before it.
+    ///
+    /// # Errors
+    ///
+    /// [`Refusal`] if the request could not begin in time.
+    pub(crate) async fn admit(self: &Rc<Self>, facts: &AdmissionFacts) -> Result<(), Refusal> {
+        let now = self.now();
+        let Some(capacity) = self.service_capacity(&facts.service, now) else { return Ok(()) };
+        let is_return = self.returns.borrow().is_due(facts.content, now);
+        let (ahead, rate) = self.admissions.with(&facts.service, |queue| {
+            let ahead = match is_return {
+                true => queue.waiting.ahead_of_return(&facts.demand, now),
+                false => queue.waiting.ahead_of(&facts.demand, now),
+            };
+            (ahead, queue.starts.per_second())
+        });
+        // Callers that were promised a time return before new ones are served, so that they count as waiting.
+        let pending = if is_return || capacity.free_slots >= 1.0 {
+            0
+        } else {
+            self.returns.borrow().pending(&facts.service, now)
+        };
+        match AdmissionPolicy.decide(&capacity, ahead + pending, rate, &facts.demand, now) {
+            AdmissionDecision::Send => {
+                self.record_start(facts, now);
+                Ok(())
+            }
+            AdmissionDecision::Wait => self.wait_for_capacity(facts, is_return, ahead).await,
+            AdmissionDecision::Refuse { ready_in } => Err(self.refuse(facts, ready_in, "too late")),
+        }
+    }
+
+    /// Queues a request until it is granted capacity.
+    async fn wait_for_capacity(
+        self: &Rc<Self>,
+        facts: &AdmissionFacts,
+        has_promise: bool,
+        ahead: usize,
+    ) -> Result<(), Refusal> {
+        let began = self.now();
+        let id = self.admissions.next_id.get();
+        self.admissions.next_id.set(id + 1);
+        let waiting = Waiting { id, customer: facts.customer, demand: facts.demand, has_promise };
+        let pushed = self.admissions.with(&facts.service, |queue| {
+            let is_first = queue.waiting.is_empty();
+            let pushed = queue.waiting.push(waiting, began, |_| 0.0);
+            pushed.map(|replaced| {
+                queue.refused.extend(replaced.map(|last| last.id));
+                is_first
+            })
+        });
+        let Ok(is_first) = pushed else {
+            return Err(self.refuse(facts, facts.demand.latency_target, "the queue is full"));
+        };
+        if is_first {
+            self.spawn(dispatch(self.clone(), facts.service.clone()));
+        }
+        let _guard = WaitingGuard { gw: self, service: &facts.service, id };
+        loop {
+            let decided = self.admissions.decided.listen();
+            let is_granted = self.admissions.with(&facts.service, |queue| {
+                match (queue.granted.remove(&id), queue.refused.remove(&id)) {
+                    (true, _) => Some(true),
+                    (false, true) => Some(false),
+                    (false, false) => None,
+                }
+            });
+            match is_granted {
+                Some(true) => {
+                    self.log_wait(facts, began, ahead);
+                    self.record_start(facts, self.now());
+                    return Ok(());
+                }
+                Some(false) => {
+                    return Err(self.refuse(
+                        facts,
+                        facts.demand.latency_target,
+                        "no capacity in time",
+                    ));
+                }
+                None => {
+                    within(DISPATCH_INTERVAL, decided).await;
+                }
+            }
+        }
+    }
+
+    /// Records that a request is sent, which keeps its promise if it had one.
+    fn record_start(&self, facts: &AdmissionFacts, now: Millis) {
+        self.returns.borrow_mut().take(facts.content, now);
+        self.admissions.with(&facts.service, |queue| queue.starts.record(now));
+    }
+
+    /// Refuses a request and promises its caller a time at which there is capacity.
+    fn refuse(&self, facts: &AdmissionFacts, ready_in: Millis, why: &str) -> Refusal {
+        let now = self.now();
+        let rate = self.admissions.with(&facts.service, |queue| queue.starts.per_second());
+        let retry_after = self.returns.borrow_mut().promise(
+            facts.content,
+            &facts.service,
+            ready_in,
+            rate,
+            now,
+            fastrand::u64(..),
+        );
+        self.telemetry.count("admission.refused", 1);
+        self.telemetry.count("admission.promised", 1);
+        if self.admissions.take_log_line(now) {
+            self.telemetry.info(
+                "admission_refused",
+                &[
+                    ("request", &facts.request),
+                    ("content", &facts.content),
+                    ("service", &facts.service),
+                    ("rank", &facts.demand.rank),
+                    ("why", &why),
+                    ("waited_ms", &now.since(facts.demand.arrived_at)),
+                    ("per_s", &format_args!("{rate:.1}")),
+                    ("retry_after_ms", &retry_after),
+                ],
+            );
+        }
+        Refusal { retry_after, why: format!("all servers of {} are full: {why}", facts.service) }
+    }
+
+    fn log_wait(&self, facts: &AdmissionFacts, began: Millis, ahead: usize) {
+        let now = self.now();
+        self.telemetry.count("admission.sent_after_wait", 1);
+        if self.admissions.take_log_line(now) {
+            self.telemetry.info(
+                "admission_waited",
+                &[
+                    ("request", &facts.request),
+                    ("service", &facts.service),
+                    ("rank", &facts.demand.rank),
+                    ("ahead", &ahead),
+                    ("waited_ms", &now.since(began)),
+                ],
+            );
+        }
+    }
+
+    /// Returns the capacity of a service's servers that this gateway may use; `None` if it knows no server.
+    fn service_capacity(&self, service: &ServiceName, now: Millis) -> Option<Capacity> {
+        let headroom = self.service_headroom(service, now)?;
+        Some(Capacity {
+            free_slots: headroom.free_slots,
+            next_slot: headroom.next_slot,
+            prefill_wait: headroom.prefill_wait,
+        })
+    }
+
+    fn service_headroom(&self, service: &ServiceName, now: Millis) -> Option<Headroom> {
+        let run = self.admissions.run_times.borrow().run(service);
+        let fleet = self.send_turns.borrow().fleet(now);
+        let memory = self.catalog().and_then(|c| c.service(service)?.memory_tokens);
+        let rooms: Vec<Headroom> = self.with_registry(|registry| {
+            let is_usable = |s: &&redwingfold_core::BackendServer| {
+                s.service == *service && s.state == ServerState::Ready && !self.is_leaving(s)
+            };
+            let servers = registry.servers(now).filter(is_usable);
+            servers.map(|server| self.server_headroom(server, memory, run, fleet, now)).collect()
+        });
+        (!rooms.is_empty()).then(|| HeadroomPolicy::default().service(rooms))
+    }
+
+    fn server_headroom(
+        &self,
+        server: &redwingfold_core::BackendServer,
+        memory: Option<u64>,
+        run: Run,
+        fleet: usize,
+        now: Millis,
+    ) -> Headroom {
+        let mut facts = self.loads.facts(server, memory, now);
+        facts.report = facts.report.map(|report| report.remaining(facts.slots, run));
+        HeadroomPolicy::default().server(&facts, run, fleet)
+    }
+
+    /// Updates the gauges of waiting requests and of the largest customer's share.
+    pub fn update_admission_gauges(&self) {
+        self.telemetry.gauge("admission.waiting", self.admissions.waiting() as u64);
+        self.count_returns();
+    }
+}
+
+/// Grants capacity to the waiting requests of a service until none waits.
+async fn dispatch(gw: Rc<Gateway>, service: ServiceName) {
+    loop {
+        sleep(DISPATCH_INTERVAL).await;
+        let now = gw.now();
+        let free = gw.service_capacity(&service, now).map_or(0.0, |c| c.free_slots) as usize;
+        let is_empty = gw.admissions.with(&service, |queue| {
+            let hopeless = queue.waiting.take_hopeless(now);
+            queue.refused.extend(hopeless.iter().map(|waiting| waiting.id));
+            for _ in 0..free {
+                match queue.waiting.pop(now, |_| 0.0) {
+                    Some(first) => queue.granted.insert(first.id),
+                    None => break,
+                };
+            }
+            queue.waiting.is_empty()
+        });
+        gw.admissions.decided.notify(usize::MAX);
+        if is_empty {
+            return;
+        }
+    }
 }
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -151,8 +151,13 @@
         let prefill_time = self.prefill_time(self.size.unwrap_or(0));
         let expected = prefill_wait.after(prefill_time).after(self.prefill_work(self.size).shared);
         let runs = self.runs(sent_at);
-        let mut in_flight =
-            gw.loads.record_send(server, prefill_time, runs, gw.interrupted_runs.clone());
+        let mut in_flight = gw.loads.record_send(
+            server,
+            prefill_time,
+            self.memory_tokens(),
+            runs,
+            gw.interrupted_runs.clone(),
+        );
         self.run_state = redwingfold_core::RunState::MayHaveRun;
         self.sends += 1;
         let answered = self.wait_for_head(connection.try_send(req), server, expected).await;
--- a/gateway/src/connection_pool.rs
+++ b/gateway/src/connection_pool.rs
@@ -39,7 +39,7 @@
 impl Gateway {
     /// Returns whether connections to servers are kept and reused.
     pub(crate) fn reuses_connections(&self) -> bool {
-        self.settings.connection_reuse.is_enabled
+        self.settings.connection_reuse.is_enabled || self.has_admission_control()
     }
 
     /// Removes an open connection to a server from the pool; `None` if there is none.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,6 +16,7 @@
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
 
+use crate::admission::AdmissionQueues;
 use crate::clock::{Clock, within};
 use crate::connection_pool::ConnectionPool;
 use crate::exchange::{EncodedServers, OrderSnapshots};
@@ -120,6 +121,7 @@
     pressure: Cell<Pressure>,
     /// Whether a server has reported that it shares its host.
     pub(crate) has_shared_hosts: Cell<bool>,
+    pub(crate) admissions: AdmissionQueues,
     lifecycle: Cell<Lifecycle>,
     stop_deadline: Cell<Millis>,
     /// Notified when the configuration, the servers or the lifecycle changed.
@@ -196,6 +198,7 @@
             stream_times: RefCell::default(),
             pressure: Cell::default(),
             has_shared_hosts: Cell::default(),
+            admissions: AdmissionQueues::default(),
             lifecycle: Cell::default(),
             stop_deadline: Cell::new(Millis(u64::MAX)),
             state_changed: Event::new(),
--- a/gateway/src/load.rs
+++ b/gateway/src/load.rs
@@ -6,8 +6,9 @@
 use std::rc::Rc;
 
 use redwingfold_core::{
-    BackendId, BackendServer, EndedRun, Fault, HealthPolicy, Incarnation, InterruptedRuns, Millis,
-    PeerLoads, Place, RequestRate, ServerHealth, ServerReport, UnreachableServers,
+    BackendId, BackendServer, EndedRun, Fault, HealthPolicy, Incarnation, InterruptedRuns,
+    LoadSample, Millis, PeerLoads, Place, RequestRate, ServerFacts, ServerHealth, ServerReport,
+    UnreachableServers,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -28,6 +29,8 @@
     ended_since_report: u32,
     /// Requests of this gateway in flight.
     in_flight: u32,
+    /// Tokens of these requests.
+    tokens: u64,
     /// Estimated time to process the prompts sent by this gateway that the server has not processed yet.
     prefill_wait: Millis,
     /// When bytes were last received from the server.
@@ -108,6 +111,7 @@
     table: LoadTable,
     server: ServerInstance,
     prefill_wait: Millis,
+    tokens: u64,
     /// One run for each fingerprint under which the end of the server would be recorded.
     runs: Vec<EndedRun>,
     interrupted_runs: Rc<RefCell<InterruptedRuns>>,
@@ -172,12 +176,40 @@
         }
     }
 
+    /// Returns what is known about the capacity of a server whose memory holds `memory_tokens`.
+    pub(crate) fn facts(
+        &self,
+        server: &BackendServer,
+        memory_tokens: Option<u64>,
+        now: Millis,
+    ) -> ServerFacts {
+        let tables = self.0.borrow();
+        let none = ServerLoad::default();
+        let load = tables.own.get(&server.id).unwrap_or(&none);
+        let hash = id_hash(&server.id);
+        let sample = |running, waiting, at| LoadSample { running, waiting, age: now.since(at) };
+        let own = (load.reported_at > Millis(0))
+            .then(|| sample(load.reported.running, load.reported.waiting, load.reported_at));
+        let of_peer = tables.peers.get(hash).report.filter(|(_, at)| *at > load.reported_at);
+        let of_peer = of_peer.map(|(report, at)| sample(report.running, report.waiting, at));
+        ServerFacts {
+            slots: server.slots,
+            memory_tokens,
+            report: of_peer.or(own),
+            own_running: load.in_flight,
+            own_tokens: load.tokens,
+            sent_since_report: load.sent_since_report,
+            prefill_wait: load.prefill_wait.after(tables.peers.backlog(hash, now)),
+        }
+    }
+
     /// Counts a request sent to a server with its estimated prefill time, until the guard is dropped. Whether the request
     /// completed or was abandoned is recorded in `interrupted_runs`.
     pub(crate) fn record_send(
         &self,
         server: &BackendServer,
         prefill_wait: Millis,
+        tokens: u64,
         runs: Vec<EndedRun>,
         interrupted_runs: Rc<RefCell<InterruptedRuns>>,
     ) -> InFlightGuard {
@@ -187,6 +219,7 @@
         }
         if let Some(load) = tables.entry(server) {
             load.in_flight += 1;
+            load.tokens = load.tokens.saturating_add(tokens);
             load.sent_since_report += 1;
             load.prefill_wait = load.prefill_wait.after(prefill_wait);
         }
@@ -195,6 +228,7 @@
             table: self.clone(),
             server,
             prefill_wait,
+            tokens,
             runs,
             interrupted_runs,
             is_settled: false,
@@ -376,6 +410,7 @@
         }
         self.table.update(&self.server, |load| {
             load.in_flight = load.in_flight.saturating_sub(1);
+            load.tokens = load.tokens.saturating_sub(self.tokens);
             load.ended_since_report += 1;
         });
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -5,11 +5,13 @@
 use bytes::Bytes;
 use http::{HeaderMap, Method, StatusCode, Uri};
 use redwingfold_core::{
-    Arm, BackendId, BackendServer, Catalog, Customer, EndedRun, ErrorKind, EventId, Fault,
+    Arm, BackendId, BackendServer, Catalog, Customer, Demand, EndedRun, ErrorKind, EventId, Fault,
     Fingerprint, Millis, Priority, ResendReason, Route, RunState, ServiceName, VersionName, Work,
     is_in_first_half,
 };
+use xxhash_rust::xxh3::xxh3_64;
 
+use crate::admission::AdmissionFacts;
 use crate::attempt::{AttemptOutcome, BodyRead, ConnectionSource, UpstreamResponse};
 use crate::clock::within;
 use crate::fingerprint::suspect_keys;
@@ -74,6 +76,8 @@
     pub(crate) event_count: usize,
     /// Longest time between two forwarded events.
     pub(crate) longest_pause: Millis,
+    /// When it was admitted, if admission is controlled.
+    pub(crate) admitted_at: Option<Millis>,
 }
 
 /// The parts of the caller's request from which each attempt is built.
@@ -140,6 +144,7 @@
             time_to_first_byte: None,
             event_count: 0,
             longest_pause: Millis(0),
+            admitted_at: None,
         }
     }
 
@@ -155,8 +160,12 @@
     /// their broken streams in one wave. These are already late, and with precedence over all others they made hundreds of
     /// new requests late as well.
     pub(crate) fn priority(&self, is_resumed: bool) -> Priority {
-        let own = self.customer.as_ref().and_then(|c| c.priority).unwrap_or(self.route.priority);
-        self.gw.settings.urgency.rank(self.unshared_tokens(), own, is_resumed)
+        self.gw.settings.urgency.rank(self.unshared_tokens(), self.own_priority(), is_resumed)
+    }
+
+    /// Returns the priority set by the operator.
+    fn own_priority(&self) -> Priority {
+        self.customer.as_ref().and_then(|c| c.priority).unwrap_or(self.route.priority)
     }
 
     /// Records a send to a server for the service's rollout.
@@ -206,6 +215,7 @@
         loop {
             self.check_deadline()?;
             Box::pin(self.check_quarantine()).await?;
+            Box::pin(self.wait_for_admission()).await?;
             let (server, prefill_wait, source) = match resend.take() {
                 Some(resend) => resend,
                 None => {
@@ -270,6 +280,54 @@
         }
     }
 
+    /// Waits before the first send until there is capacity, if admission is controlled.
+    async fn wait_for_admission(&mut self) -> Result<(), RequestError> {
+        if self.admitted_at.is_some() || self.sends > 0 || !self.gw.has_admission_control() {
+            return Ok(());
+        }
+        if let Err(refusal) = self.gw.admit(&self.admission_facts()).await {
+            let retry_after = Some(refusal.retry_after);
+            return Err(RequestError { retry_after, ..self.overloaded_error(refusal.why) });
+        }
+        self.admitted_at = Some(self.gw.now());
+        Ok(())
+    }
+
+    fn admission_facts(&self) -> AdmissionFacts {
+        let (target, work) = (self.route.latency_target, self.prefill_work(self.size));
+        let until_deadline = self.deadline.since(self.received_at);
+        let patience = self.route.stream.map_or(until_deadline, |s| s.patience(target));
+        let duration = self.gw.expected_duration(&self.service);
+        let demand = Demand {
+            rank: self.own_priority(),
+            tokens: self.unshared_tokens(),
+            arrived_at: self.received_at,
+            latency_target: target,
+            patience,
+            deadline: self.deadline,
+            prefill: self.prefill_time(self.size.unwrap_or(0)).after(work.shared),
+            // A run that takes longer than usual may still be in time, and so may a run on a shorter deadline than most.
+            duration: duration.min(Millis(until_deadline.0 / 2)),
+        };
+        AdmissionFacts {
+            request: self.metadata.id.clone(),
+            service: self.service.clone(),
+            customer: self.customer_hash(),
+            content: self.fingerprint,
+            demand,
+        }
+    }
+
+    /// Returns the hash that identifies the customer in messages between gateways.
+    pub(crate) fn customer_hash(&self) -> u32 {
+        self.customer.as_ref().map_or(0, |c| xxh3_64(c.name.as_str().as_bytes()) as u32)
+    }
+
+    /// Returns the tokens that the request takes up in the memory of a server, without the shared part of its prompt.
+    pub(crate) fn memory_tokens(&self) -> u64 {
+        self.unshared_tokens().saturating_add(self.metadata.usage.max_output)
+    }
+
     /// Records a response and returns whether it is forwarded, rather than dropped for another attempt.
     fn accept_response(&mut self, response: &UpstreamResponse) -> bool {
         let is_failure = response.head.status.is_server_error();
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -1,5 +1,6 @@
 //! Log lines of a request and its attempts.
 
+use crate::admission::EndedRequest;
 use crate::attempt::{AttemptOutcome, UpstreamResponse};
 use crate::request::InFlightRequest;
 use redwingfold_core::{Arm, BackendServer};
@@ -114,6 +115,14 @@
         gw.in_flight.set(gw.in_flight.get().saturating_sub(1));
         gw.request_body_bytes.set(gw.request_body_bytes.get().saturating_sub(self.body.len()));
         let took = gw.now().since(self.received_at);
+        if let Some(admitted_at) = self.admitted_at.filter(|_| self.sends > 0) {
+            gw.record_ended_request(&EndedRequest {
+                service: &self.service,
+                customer: self.customer_hash(),
+                took: gw.now().since(admitted_at),
+                tokens: self.memory_tokens(),
+            });
+        }
         let server = self.server.as_ref().map_or("", |s| s.id.as_str());
         let version = self.server.as_ref().map_or("", |s| s.version.as_str());
         let model = self.size.map_or("", |size| self.route.sizes[size].as_str());
