feat(core): customers' shares of the servers' time, over all gateways

Change: CustomerShares records work with a half-life of 5 s, reports own work to the peers and adds theirs. At most 4,096 customers are kept; the least used eighth is evicted at once, so an eviction costs constant time on average. Peers' entries are capped at 1,000 s.

Reports are numbered: repeated ones have no effect, and missed ones are assumed to have been as the next that arrives.

--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -27,6 +27,7 @@
 mod registry;
 mod retry_after;
 mod sessions;
+mod shares;
 mod silence;
 mod sizes;
 mod status;
@@ -69,6 +70,7 @@
 };
 pub use retry_after::RetryAfterTimes;
 pub use sessions::{MovedSessions, SessionKey};
+pub use shares::{CustomerShares, ReportNumbers};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
 pub use sizes::{ConfidenceGains, LargerModel, Pressure, SizePolicy};
 pub use status::{KnownStatus, RolloutStatuses};
