feat(gateway): report the work of customers to the peers once a second

Cause: a customer's share holds over all gateways only if each knows what the others sent for it.

Change: PeerMessage ends with `shares`, preceded by its number. A report of at most 32 entries is sent every tenth turn after the loads, within the byte budget less the reserve for feeds, and only if it is not empty. It is left out first if a message is too long. Nothing records work yet, so nothing is sent.

postcard can't decode a message that lacks its last fields: it has no field count and fails at the end of input. PeerMessage::decode therefore appends two zero bytes, which are empty fields, and postcard ignores bytes after a complete message. Gateways of the earlier version read the new messages and ignore the fields, those of this version read the earlier messages.

A message without the fields is an error for postcard::from_bytes and is decoded as before by decode; a message with 170 loads and 32 entries keeps its loads.

--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -8,10 +8,10 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    Catalog, ConfidenceGains, ConnectTimeout, DomainRegions, Evacuations, FeedPositions,
-    InterruptedRuns, LeavingServers, Millis, PrefillRates, Pressure, Quarantine, QuarantinePolicy,
-    Registry, RegistryPolicy, ResendBudget, ResendReason, RetryAfterTimes, SendTurns, ServerLimits,
-    ServiceName, StreamTimes,
+    Catalog, ConfidenceGains, ConnectTimeout, CustomerShares, DomainRegions, Evacuations,
+    FeedPositions, InterruptedRuns, LeavingServers, Millis, PrefillRates, Pressure, Quarantine,
+    QuarantinePolicy, Registry, RegistryPolicy, ReportNumbers, ResendBudget, ResendReason,
+    RetryAfterTimes, SendTurns, ServerLimits, ServiceName, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -95,6 +95,11 @@
     pub(crate) server_limits: RefCell<ServerLimits>,
     pub(crate) leaving_servers: RefCell<LeavingServers>,
     pub(crate) retry_after: RefCell<RetryAfterTimes>,
+    pub(crate) customer_shares: RefCell<CustomerShares>,
+    /// Numbers of the peers' reports on customers' shares.
+    pub(crate) shares_numbers: RefCell<ReportNumbers<SocketAddr>>,
+    /// Number of the next own report on customers' shares.
+    pub(crate) next_shares_number: Cell<u32>,
     /// Notified when marks of requests must be written, or a trial is requested.
     pub(crate) marks_changed: Event,
     /// When the store was last restored from an older copy.
@@ -174,6 +179,9 @@
             server_limits: RefCell::default(),
             leaving_servers: RefCell::default(),
             retry_after: RefCell::default(),
+            customer_shares: RefCell::default(),
+            shares_numbers: RefCell::default(),
+            next_shares_number: Cell::new(fastrand::u32(..)),
             marks_changed: Event::new(),
             restored_at: Cell::default(),
             orders_read_error: RefCell::default(),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -1,5 +1,5 @@
-//! Gossip between gateways: loads of servers, updates of the store's feeds, evidence on rollouts, and addresses of
-//! gateways.
+//! Gossip between gateways: loads of servers, updates of the store's feeds, evidence on rollouts, customers' shares,
+//! and addresses of gateways.
 //!
 //! It is sent in datagrams without retries, because each message is superseded by the next. Gossip is a hint only:
 //! state that gateways must agree on goes through the store.
@@ -28,6 +28,9 @@
 /// fifth of the time in which a bad version must be rolled back.
 const ROLLOUT_PEERS_DIVISOR: usize = 2;
 
+/// Turns between reports on customers' shares, which are enforced over a window of seconds.
+const SHARES_INTERVAL_TURNS: u32 = 10;
+
 /// Time without messages after which an empty one is sent as a heartbeat.
 const HEARTBEAT_INTERVAL: Millis = Millis(2_000);
 
@@ -137,7 +140,7 @@
         }
     }
 
-    /// Sends the messages of a turn: rollouts, addresses, and loads or a heartbeat.
+    /// Sends the messages of a turn: rollouts, addresses, loads or a heartbeat, and customers' shares.
     async fn send_periodic(&mut self) {
         let live = self.shuffled_live_peers();
         let fleet = live.len() + 1;
@@ -160,6 +163,13 @@
         if !loads.is_empty() || self.gw.now().since(self.last_sent_at) >= HEARTBEAT_INTERVAL {
             self.send(loads, &live, BYTES_RESERVED_FOR_FEEDS).await;
         }
+        if self.turn.is_multiple_of(SHARES_INTERVAL_TURNS) {
+            let (shares_number, shares) = self.gw.take_shares_report();
+            if !shares.is_empty() {
+                let message = PeerMessage { shares_number, shares, ..PeerMessage::default() };
+                self.send(message, &live, BYTES_RESERVED_FOR_FEEDS).await;
+            }
+        }
     }
 
     /// Returns the live peers in random order.
@@ -225,7 +235,12 @@
 
 /// Encodes a message. If it is too long for a datagram, its least important parts are left out; `None` if it is still
 /// too long.
-fn encode_datagram(mut message: PeerMessage) -> Option<Vec<u8>> {
+pub(crate) fn encode_datagram(mut message: PeerMessage) -> Option<Vec<u8>> {
+    let bytes = postcard::to_stdvec(&message).ok()?;
+    if bytes.len() <= MAX_DATAGRAM {
+        return Some(bytes);
+    }
+    (message.shares_number, message.shares) = (0, Vec::new());
     let bytes = postcard::to_stdvec(&message).ok()?;
     if bytes.len() <= MAX_DATAGRAM {
         return Some(bytes);
@@ -248,7 +263,7 @@
             sleep(SEND_INTERVAL).await;
             continue;
         };
-        let Ok(message) = postcard::from_bytes::<PeerMessage>(&buf[..len]) else {
+        let Ok(message) = PeerMessage::decode(&buf[..len]) else {
             gw.telemetry.count("peers.unreadable", 1);
             continue;
         };
@@ -296,6 +311,9 @@
         gw.apply_peer_marks(from, &new_marks);
     }
     message.session.iter().for_each(|session| gw.handle_session_message(from, *session));
+    if !message.shares.is_empty() {
+        gw.apply_peer_shares(from, message.shares_number, &message.shares);
+    }
     for rollout in message.rollouts {
         match RolloutReport::try_from(rollout) {
             Ok(report) => apply_rollout_report(gw, from, report, now),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,9 @@
 mod availability;
 mod clock;
 mod cold;
+mod customer_shares;
+#[cfg(test)]
+mod customer_shares_tests;
 mod discovery;
 mod evacuation;
 mod exchange;
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -35,8 +35,15 @@
     /// Incarnation hashes of servers that are leaving.
     pub(crate) leaving: Vec<u64>,
     pub(crate) session: Option<SessionMessage>,
+    /// Number of the report in `shares`, by which receivers detect missed and repeated ones.
+    pub(crate) shares_number: u32,
+    /// Work sent since the last report: hash of the customer's name, and milliseconds of server time.
+    pub(crate) shares: Vec<(u32, u32)>,
 }
 
+/// Bytes of the fields after `session`, if they are empty. Messages of earlier versions end without them.
+const LATER_FIELDS_BYTES: usize = 2;
+
 /// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
 /// milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
@@ -340,6 +347,18 @@
 }
 
 impl PeerMessage {
+    /// Decodes a datagram, also one of an earlier version, in which the last fields are missing.
+    ///
+    /// postcard writes no field names or count and fails at the end of its input, but an empty field is a zero byte. It
+    /// ignores bytes after the message, so a complete message is not affected.
+    ///
+    /// # Errors
+    ///
+    /// The datagram is not a message.
+    pub(crate) fn decode(datagram: &[u8]) -> Result<Self, postcard::Error> {
+        postcard::from_bytes(&[datagram, &[0; LATER_FIELDS_BYTES]].concat())
+    }
+
     /// Returns whether the message is empty, which makes it a heartbeat.
     pub(crate) fn is_empty(&self) -> bool {
         *self == Self::default()
