--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -31,6 +31,7 @@
 mod retry_after;
 mod returns;
 mod sessions;
+mod shares;
 mod silence;
 mod sizes;
 mod status;
@@ -82,6 +83,7 @@
 pub use retry_after::RetryAfterTimes;
 pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule};
 pub use sessions::{MovedSessions, SessionKey};
+pub use shares::{CustomerShares, ReportNumbers};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
 pub use sizes::{ConfidenceGains, LargerModel, Pressure, SizePolicy};
 pub use status::{KnownStatus, RolloutStatuses};
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -129,6 +129,7 @@
     /// Records the duration, size and customer of a request that was sent to servers and has ended.
     pub(crate) fn record_ended_request(&self, ended: &EndedRequest<'_>) {
         self.admissions.run_times.borrow_mut().record(ended.service, ended.took, ended.tokens);
+        self.customer_shares.borrow_mut().record(ended.customer, ended.took, self.now());
     }
 
     /// Returns how long a request to a service usually takes at its server.
@@ -179,14 +180,16 @@
         let id = self.admissions.next_id.get();
         self.admissions.next_id.set(id + 1);
         let waiting = Waiting { id, customer: facts.customer, demand: facts.demand, has_promise };
+        let shares = self.customer_shares.borrow();
         let pushed = self.admissions.with(&facts.service, |queue| {
             let is_first = queue.waiting.is_empty();
-            let pushed = queue.waiting.push(waiting, began, |_| 0.0);
+            let pushed = queue.waiting.push(waiting, began, |c| shares.usage(c, began));
             pushed.map(|replaced| {
                 queue.refused.extend(replaced.map(|last| last.id));
                 is_first
             })
         });
+        drop(shares);
         let Ok(is_first) = pushed else {
             return Err(self.refuse(facts, facts.demand.latency_target, "the queue is full"));
         };
@@ -328,17 +331,19 @@
         sleep(DISPATCH_INTERVAL).await;
         let now = gw.now();
         let free = gw.service_capacity(&service, now).map_or(0.0, |c| c.free_slots) as usize;
+        let shares = gw.customer_shares.borrow();
         let is_empty = gw.admissions.with(&service, |queue| {
             let hopeless = queue.waiting.take_hopeless(now);
             queue.refused.extend(hopeless.iter().map(|waiting| waiting.id));
             for _ in 0..free {
-                match queue.waiting.pop(now, |_| 0.0) {
+                match queue.waiting.pop(now, |customer| shares.usage(customer, now)) {
                     Some(first) => queue.granted.insert(first.id),
                     None => break,
                 };
             }
             queue.waiting.is_empty()
         });
+        drop(shares);
         gw.admissions.decided.notify(usize::MAX);
         if is_empty {
             return;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,9 @@
 mod connection_pool;
 #[cfg(test)]
 mod connection_pool_tests;
+mod customer_shares;
+#[cfg(test)]
+mod customer_shares_tests;
 mod discovery;
 mod evacuation;
 mod exchange;
