test(gateway): each report on customers' shares counts once at a peer

Load pattern: the network delivers a report twice. Two gateways in one process exchange two reports of 100 ms, each applied twice. The test also checks that consecutive reports have consecutive numbers.

--- a/gateway/src/customer_shares_tests.rs
+++ b/gateway/src/customer_shares_tests.rs
@@ -1,8 +1,13 @@
 //! Reports on customers' shares in messages between gateways.
 
+use std::rc::Rc;
+
 use redwingfold_core::{CustomerShares, Millis};
+use redwingfold_telemetry::Telemetry;
 
+use crate::gateway::Gateway;
 use crate::gossip::encode_datagram;
+use crate::metadata::HeaderCodec;
 use crate::peer_message::PeerMessage;
 
 /// Largest datagram, in bytes.
@@ -56,3 +61,33 @@
     let bytes = encode_datagram(message).expect("a datagram");
     assert_eq!(PeerMessage::decode(&bytes).expect("a message"), loads);
 }
+
+fn gateway() -> Gateway {
+    let codec = HeaderCodec {
+        decode_request: |_| Err("no requests".to_owned()),
+        encode_attempt: |_, _| {},
+        decode_response: |_, _| unreachable!("no responses"),
+    };
+    let telemetry = Telemetry::disabled().expect("telemetry");
+    Gateway::new(Default::default(), codec, telemetry, Rc::default())
+}
+
+/// Guards against reports with the same number, whose work receivers take for repeated, and against repeated reports
+/// that count twice.
+#[test]
+fn each_report_counts_once_at_a_peer() {
+    let (sender, receiver) = (gateway(), gateway());
+    let address = ([127, 0, 0, 1], 7000).into();
+    let first = sender.next_shares_number.get();
+    for expected in [first, first.wrapping_add(1)] {
+        sender.customer_shares.borrow_mut().record(7, Millis(100), sender.now());
+        let (number, report) = sender.take_shares_report();
+        assert_eq!((number, &report[..]), (expected, &[(7, 100)][..]));
+        assert!(sender.take_shares_report().1.is_empty());
+        receiver.apply_peer_shares(address, number, &report);
+        receiver.apply_peer_shares(address, number, &report);
+    }
+    // Work decays with the clock, so there is no lower bound other than zero.
+    let usage = receiver.customer_shares.borrow().usage(7, receiver.now());
+    assert!(usage > 0.0 && usage <= 200.0, "{usage}");
+}
