--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -103,7 +103,7 @@
         self.queues.borrow().values().map(|queue| queue.waiting.len()).sum()
     }
 
-    /// Takes one of the log lines of this second. Returns how many were left out in the last one if it is the first.
+    /// Returns whether a further line may be logged in this second.
     fn take_log_line(&self, now: Millis) -> bool {
         let (since, count) = self.log_lines.get();
         let is_new_second = now.since(since) >= Millis(1_000);
@@ -180,16 +180,17 @@
         let id = self.admissions.next_id.get();
         self.admissions.next_id.set(id + 1);
         let waiting = Waiting { id, customer: facts.customer, demand: facts.demand, has_promise };
-        let shares = self.customer_shares.borrow();
-        let pushed = self.admissions.with(&facts.service, |queue| {
-            let is_first = queue.waiting.is_empty();
-            let pushed = queue.waiting.push(waiting, began, |c| shares.usage(c, began));
-            pushed.map(|replaced| {
-                queue.refused.extend(replaced.map(|last| last.id));
-                is_first
+        let pushed = {
+            let shares = self.customer_shares.borrow();
+            self.admissions.with(&facts.service, |queue| {
+                let is_first = queue.waiting.is_empty();
+                let pushed = queue.waiting.push(waiting, began, |c| shares.usage(c, began));
+                pushed.map(|replaced| {
+                    queue.refused.extend(replaced.map(|last| last.id));
+                    is_first
+                })
             })
-        });
-        drop(shares);
+        };
         let Ok(is_first) = pushed else {
             return Err(self.refuse(facts, facts.demand.latency_target, "the queue is full"));
         };
@@ -329,24 +330,29 @@
 async fn dispatch(gw: Rc<Gateway>, service: ServiceName) {
     loop {
         sleep(DISPATCH_INTERVAL).await;
-        let now = gw.now();
-        let free = gw.service_capacity(&service, now).map_or(0.0, |c| c.free_slots) as usize;
-        let shares = gw.customer_shares.borrow();
-        let is_empty = gw.admissions.with(&service, |queue| {
-            let hopeless = queue.waiting.take_hopeless(now);
-            queue.refused.extend(hopeless.iter().map(|waiting| waiting.id));
-            for _ in 0..free {
-                match queue.waiting.pop(now, |customer| shares.usage(customer, now)) {
-                    Some(first) => queue.granted.insert(first.id),
-                    None => break,
-                };
-            }
-            queue.waiting.is_empty()
-        });
-        drop(shares);
+        let is_empty = grant_free_slots(&gw, &service);
         gw.admissions.decided.notify(usize::MAX);
         if is_empty {
             return;
         }
     }
 }
+
+/// Grants the free slots to the first waiting requests, and refuses those that can no longer begin in time. Returns whether
+/// none is left.
+fn grant_free_slots(gw: &Gateway, service: &ServiceName) -> bool {
+    let now = gw.now();
+    let free = gw.service_capacity(service, now).map_or(0.0, |c| c.free_slots) as usize;
+    let shares = gw.customer_shares.borrow();
+    gw.admissions.with(service, |queue| {
+        let hopeless = queue.waiting.take_hopeless(now);
+        queue.refused.extend(hopeless.iter().map(|waiting| waiting.id));
+        for _ in 0..free {
+            match queue.waiting.pop(now, |customer| shares.usage(customer, now)) {
+                Some(first) => queue.granted.insert(first.id),
+                None => break,
+            };
+        }
+        queue.waiting.is_empty()
+    })
+}
