fix(gateway): run one dispatcher for the waiting requests of a service

Cause: a queue that was empty for a moment got a second task, and both granted the same free slots. Change: the queue records whether it has a dispatcher. Result: found by reading; the gateway builds without warnings.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -59,6 +59,8 @@
     granted: HashSet<u64>,
     refused: HashSet<u64>,
     starts: StartRate,
+    /// Whether a task grants capacity to the waiting requests.
+    has_dispatcher: bool,
 }
 
 /// Requests that wait at this gateway, by service.
@@ -183,18 +185,17 @@
         let pushed = {
             let shares = self.customer_shares.borrow();
             self.admissions.with(&facts.service, |queue| {
-                let is_first = queue.waiting.is_empty();
                 let pushed = queue.waiting.push(waiting, began, |c| shares.usage(c, began));
                 pushed.map(|replaced| {
                     queue.refused.extend(replaced.map(|last| last.id));
-                    is_first
+                    !std::mem::replace(&mut queue.has_dispatcher, true)
                 })
             })
         };
-        let Ok(is_first) = pushed else {
+        let Ok(needs_dispatcher) = pushed else {
             return Err(self.refuse(facts, facts.demand.latency_target, "the queue is full"));
         };
-        if is_first {
+        if needs_dispatcher {
             self.spawn(dispatch(self.clone(), facts.service.clone()));
         }
         let _guard = WaitingGuard { gw: self, service: &facts.service, id };
@@ -353,6 +354,7 @@
                 None => break,
             };
         }
-        queue.waiting.is_empty()
+        queue.has_dispatcher = !queue.waiting.is_empty();
+        !queue.has_dispatcher
     })
 }
