--- a/gateway/src/model_choice.rs
+++ b/gateway/src/model_choice.rs
@@ -73,9 +73,7 @@
         let slots: f64 = places.iter().map(|place| f64::from(place.slots)).sum();
         let used = |place: &Place| (place.running + place.waiting).min(f64::from(place.slots));
         let free = slots - places.iter().map(used).sum::<f64>();
-        // All gateways see the same servers with short waits, so that the mean is closer to the wait than the shortest.
-        let waits: u64 = places.iter().map(|place| place.prefill_wait.0).sum();
-        let prefill_wait = Millis(waits / places.len().max(1) as u64);
+        let prefill_wait = places.iter().map(|place| place.prefill_wait).min().unwrap_or_default();
         let target = self.route.latency_target;
         let utilization = HeadroomPressure.utilization(free, slots, prefill_wait, target);
         ServerLoad { utilization, prefill_wait }
@@ -86,6 +84,6 @@
 struct ServerLoad {
     /// From 0 (idle) to 1 (full).
     utilization: f64,
-    /// Mean time until they begin to prefill a new prompt.
+    /// Shortest time until one of them begins to prefill a new prompt.
     prefill_wait: Millis,
 }
