test(gateway): admission of requests whose servers are full

Cause: the wiring of admission control had tests of its decisions only. Change: tests of the gateway's part: requests with capacity do not wait, hopeless ones are refused at once with a time to return and recognized then, waiting ones go by the operator's rank, and entries of callers that have left are removed.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -100,11 +100,6 @@
         }
     }
 
-    /// Returns the number of requests that wait at this gateway.
-    fn waiting(&self) -> usize {
-        self.queues.borrow().values().map(|queue| queue.waiting.len()).sum()
-    }
-
     /// Returns whether a further line may be logged in this second.
     fn take_log_line(&self, now: Millis) -> bool {
         let (since, count) = self.log_lines.get();
@@ -320,9 +315,14 @@
         HeadroomPolicy::default().server(&facts, run, fleet)
     }
 
+    /// Returns the number of requests that wait at this gateway.
+    pub(crate) fn waiting_requests(&self) -> usize {
+        self.admissions.queues.borrow().values().map(|queue| queue.waiting.len()).sum()
+    }
+
     /// Updates the gauges of waiting requests and of the largest customer's share.
     pub fn update_admission_gauges(&self) {
-        self.telemetry.gauge("admission.waiting", self.admissions.waiting() as u64);
+        self.telemetry.gauge("admission.waiting", self.waiting_requests() as u64);
         self.count_returns();
     }
 }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -5,6 +5,8 @@
 //! is applied through the methods of [`Gateway`]. Decisions are made in `redwingfold-core`.
 
 mod admission;
+#[cfg(test)]
+mod admission_tests;
 mod attempt;
 mod availability;
 mod clock;
