--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -66,10 +66,10 @@
     Quarantine, QuarantinePolicy, QueueFull, Registry, RegistryPolicy, ReportNumbers,
     RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, Return, ReturnCounts,
     ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route, RouteEvidence, RouteName,
-    Run, RunTimes, SendCounts, SendTurns, ServerFacts, ServerHealth, ServerLimits, ServerOrder,
-    ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch,
-    SizePolicy, StartRate, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
-    UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter,
-    is_in_first_half, lead_servers, place,
+    Run, RunTimes, SendCounts, SendTurns, ServerFacts, ServerHealth, ServerLimits, ServerReport,
+    ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
+    StartRate, StreamRules, StreamTimes, SuspectTrial, UnreachableServers, UrgencyPolicy,
+    WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter, is_in_first_half,
+    lead_servers, place,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/admission/mod.rs
+++ b/core/src/serving/admission/mod.rs
@@ -1,14 +1,12 @@
 //! Admission of requests under contention: whether a request is sent, waits or is refused, and in which order waiting
-//! requests are sent to servers and run there.
+//! requests are sent.
 
 mod decision;
 mod queue;
-mod server_order;
 mod start_rate;
 
 pub use decision::{AdmissionDecision, AdmissionPolicy, Capacity};
 pub use queue::{QueueFull, WaitQueue, Waiting};
-pub use server_order::ServerOrder;
 pub use start_rate::StartRate;
 
 use super::catalog::Priority;
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -41,8 +41,7 @@
 mod urgency;
 
 pub use admission::{
-    AdmissionDecision, AdmissionPolicy, Capacity, Demand, QueueFull, ServerOrder, StartRate,
-    WaitQueue, Waiting,
+    AdmissionDecision, AdmissionPolicy, Capacity, Demand, QueueFull, StartRate, WaitQueue, Waiting,
 };
 pub use allowed_regions::{AllowedRegions, DomainRegions};
 pub use answers::{AnswerCounts, AnswerSums, FleetEvidence, LatencySums, RouteEvidence};
