feat(gateway): refusals by reason, and the age of the reports in lines on admission

Cause: a line on a refused request did not say how old the reports were that the decision rests on, and the counter did not tell the reasons apart.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
+use std::fmt;
 use std::rc::Rc;
 
 use event_listener::Event;
@@ -52,6 +53,27 @@
     pub(crate) why: String,
 }
 
+/// Why a request is refused.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum RefusalReason {
+    /// At its arrival, the first event or the whole answer is expected too late.
+    TooLate,
+    /// It has waited until it could no longer begin in time, or a more urgent one has replaced it.
+    NoCapacityInTime,
+    /// Too many requests wait.
+    QueueFull,
+}
+
+impl fmt::Display for RefusalReason {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::TooLate => "too_late",
+            Self::NoCapacityInTime => "no_capacity_in_time",
+            Self::QueueFull => "queue_full",
+        })
+    }
+}
+
 /// Requests of one service that wait at this gateway.
 #[derive(Debug, Default)]
 struct ServiceQueue {
@@ -162,7 +184,9 @@
                 Ok(())
             }
             AdmissionDecision::Wait => self.wait_for_capacity(facts, is_return, ahead).await,
-            AdmissionDecision::Refuse { ready_in } => Err(self.refuse(facts, ready_in, "too late")),
+            AdmissionDecision::Refuse { ready_in } => {
+                Err(self.refuse(facts, ready_in, RefusalReason::TooLate))
+            }
         }
     }
 
@@ -188,7 +212,7 @@
             })
         };
         let Ok(needs_dispatcher) = pushed else {
-            return Err(self.refuse(facts, facts.demand.latency_target, "the queue is full"));
+            return Err(self.refuse(facts, facts.demand.latency_target, RefusalReason::QueueFull));
         };
         if needs_dispatcher {
             self.spawn(dispatch(self.clone(), facts.service.clone()));
@@ -213,7 +237,7 @@
                     return Err(self.refuse(
                         facts,
                         facts.demand.latency_target,
-                        "no capacity in time",
+                        RefusalReason::NoCapacityInTime,
                     ));
                 }
                 None => {
@@ -230,7 +254,7 @@
     }
 
     /// Refuses a request and promises its caller a time at which there is capacity.
-    fn refuse(&self, facts: &AdmissionFacts, ready_in: Millis, why: &str) -> Refusal {
+    fn refuse(&self, facts: &AdmissionFacts, ready_in: Millis, why: RefusalReason) -> Refusal {
         let now = self.now();
         let rate = self.admissions.with(&facts.service, |queue| queue.starts.per_second());
         let retry_after = self.returns.borrow_mut().promise(
@@ -241,7 +265,7 @@
             now,
             fastrand::u64(..),
         );
-        self.telemetry.count("admission.refused", 1);
+        self.telemetry.count(&format!("admission.refused.{why}"), 1);
         self.telemetry.count("admission.promised", 1);
         if self.admissions.take_log_line(now) {
             self.telemetry.info(
@@ -253,6 +277,7 @@
                     ("rank", &facts.demand.rank),
                     ("why", &why),
                     ("waited_ms", &now.since(facts.demand.arrived_at)),
+                    ("report_age_ms", &self.report_age(&facts.service, now)),
                     ("per_s", &format_args!("{rate:.1}")),
                     ("retry_after_ms", &retry_after),
                 ],
@@ -261,6 +286,12 @@
         Refusal { retry_after, why: format!("all servers of {} are full: {why}", facts.service) }
     }
 
+    /// Returns the age of the oldest load report that the capacity of a service rests on, for log lines.
+    fn report_age(&self, service: &ServiceName, now: Millis) -> String {
+        let age = self.service_headroom(service, now).and_then(|headroom| headroom.age);
+        age.map_or_else(String::new, |age| age.to_string())
+    }
+
     fn log_wait(&self, facts: &AdmissionFacts, began: Millis, ahead: usize) {
         let now = self.now();
         self.telemetry.count("admission.sent_after_wait", 1);
@@ -273,6 +304,7 @@
                     ("rank", &facts.demand.rank),
                     ("ahead", &ahead),
                     ("waited_ms", &now.since(began)),
+                    ("report_age_ms", &self.report_age(&facts.service, now)),
                 ],
             );
         }
