fix(gateway): estimate the rate of a service by its slots, not only by requests started

Cause: the rate at which a gateway starts requests is that of its callers while it has few. When its servers were full, it refused callers as too late who could have begun within a second, and promised times 15 s away (seen in a test with real processes: 4 requests ahead at 0.26 starts a second). Change: the rate is at least this gateway's part of what the slots complete.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -7,8 +7,9 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    AdmissionDecision, AdmissionPolicy, Capacity, Demand, Fingerprint, Headroom, HeadroomPolicy,
-    Millis, Run, RunTimes, ServerState, ServiceName, StartRate, WaitQueue, Waiting,
+    AdmissionDecision, AdmissionPolicy, BackendServer, Capacity, Demand, Fingerprint, Headroom,
+    HeadroomPolicy, Millis, Registry, Run, RunTimes, ServerState, ServiceName, StartRate,
+    WaitQueue, Waiting,
 };
 
 use crate::clock::{sleep, within};
@@ -165,13 +166,11 @@
         let now = self.now();
         let Some(capacity) = self.service_capacity(&facts.service, now) else { return Ok(()) };
         let is_return = self.returns.borrow().is_due(facts.content, now);
-        let (ahead, rate) = self.admissions.with(&facts.service, |queue| {
-            let ahead = match is_return {
-                true => queue.waiting.ahead_of_return(&facts.demand, now),
-                false => queue.waiting.ahead_of(&facts.demand, now),
-            };
-            (ahead, queue.starts.per_second())
+        let ahead = self.admissions.with(&facts.service, |queue| match is_return {
+            true => queue.waiting.ahead_of_return(&facts.demand, now),
+            false => queue.waiting.ahead_of(&facts.demand, now),
         });
+        let rate = self.service_rate(&facts.service, now);
         // Callers that were promised a time return before new ones are served, so that they count as waiting.
         let pending = if is_return || capacity.free_slots >= 1.0 {
             0
@@ -256,7 +255,7 @@
     /// Refuses a request and promises its caller a time at which there is capacity.
     fn refuse(&self, facts: &AdmissionFacts, ready_in: Millis, why: RefusalReason) -> Refusal {
         let now = self.now();
-        let rate = self.admissions.with(&facts.service, |queue| queue.starts.per_second());
+        let rate = self.service_rate(&facts.service, now);
         let retry_after = self.returns.borrow_mut().promise(
             facts.content,
             &facts.service,
@@ -310,6 +309,33 @@
         }
     }
 
+    /// Returns the requests per second that this gateway can start at a service: those that it has started in the last second,
+    /// or its part of what the servers complete, whichever is more.
+    ///
+    /// Failure: a gateway with few requests starts few, whatever the servers can take. By that rate alone it refused
+    /// callers for whom a slot would have been free in time, and sent them away for many seconds.
+    fn service_rate(&self, service: &ServiceName, now: Millis) -> f64 {
+        let started = self.admissions.with(service, |queue| queue.starts.per_second());
+        let slots: u32 =
+            self.with_registry(|r| self.usable_servers(service, r, now).map(|s| s.slots).sum());
+        let duration = self.expected_duration(service).0.max(1) as f64;
+        // While the fleet is unknown, this counts the known gateways: a refusal for want of an estimate helps nobody.
+        let fleet = self.with_feeds(|feeds| feeds.fleet_size()).max(1) as f64;
+        started.max(f64::from(slots) * 1_000.0 / duration / fleet)
+    }
+
+    fn usable_servers<'a>(
+        &'a self,
+        service: &'a ServiceName,
+        registry: &'a Registry,
+        now: Millis,
+    ) -> impl Iterator<Item = &'a BackendServer> {
+        let is_usable = |s: &&BackendServer| {
+            s.service == *service && s.state == ServerState::Ready && !self.is_leaving(s)
+        };
+        registry.servers(now).filter(is_usable)
+    }
+
     /// Returns the capacity of a service's servers that this gateway may use; `None` if it knows no server.
     fn service_capacity(&self, service: &ServiceName, now: Millis) -> Option<Capacity> {
         let headroom = self.service_headroom(service, now)?;
@@ -325,10 +351,7 @@
         let fleet = self.send_turns.borrow().fleet(now);
         let memory = self.catalog().and_then(|c| c.service(service)?.memory_tokens);
         let rooms: Vec<Headroom> = self.with_registry(|registry| {
-            let is_usable = |s: &&redwingfold_core::BackendServer| {
-                s.service == *service && s.state == ServerState::Ready && !self.is_leaving(s)
-            };
-            let servers = registry.servers(now).filter(is_usable);
+            let servers = self.usable_servers(service, registry, now);
             servers.map(|server| self.server_headroom(server, memory, run, fleet, now)).collect()
         });
         (!rooms.is_empty()).then(|| HeadroomPolicy::default().service(rooms))
@@ -336,7 +359,7 @@
 
     fn server_headroom(
         &self,
-        server: &redwingfold_core::BackendServer,
+        server: &BackendServer,
         memory: Option<u64>,
         run: Run,
         fleet: usize,
--- a/gateway/src/admission_tests.rs
+++ b/gateway/src/admission_tests.rs
@@ -39,6 +39,10 @@
 
 /// Returns a gateway with one server whose runs take a minute.
 fn gateway(executor: &Rc<LocalExecutor<'static>>) -> Rc<Gateway> {
+    gateway_with_runs(executor, Millis(60_000))
+}
+
+fn gateway_with_runs(executor: &Rc<LocalExecutor<'static>>, took: Millis) -> Rc<Gateway> {
     let header_codec = HeaderCodec {
         decode_request: |_: &HeaderMap| Ok(RequestMetadata::default()),
         encode_attempt: |_: &mut HeaderMap, _: &AttemptMetadata| {},
@@ -48,8 +52,7 @@
     let telemetry = Telemetry::disabled().expect("a sink");
     let gw = Rc::new(Gateway::new(settings, header_codec, telemetry, executor.clone()));
     gw.put_server(server());
-    let ended =
-        EndedRequest { service: &"plain".into(), customer: 1, took: Millis(60_000), tokens: 10 };
+    let ended = EndedRequest { service: &"plain".into(), customer: 1, took, tokens: 10 };
     gw.record_ended_request(&ended);
     gw
 }
@@ -151,3 +154,29 @@
         assert_eq!(gw.waiting_requests(), 0);
     });
 }
+
+/// Guards against callers that are refused, and sent away for long, by a gateway that has had few requests: the rate at which
+/// it started them is that of its callers, not that of the servers.
+#[test]
+fn gateway_with_few_requests_does_not_refuse_callers_in_time() {
+    let executor = Rc::new(LocalExecutor::new());
+    let gw = gateway_with_runs(&executor, Millis(1_000));
+    smol::block_on(executor.run(async {
+        // Starts in two consecutive seconds, so that the rate of starts is known.
+        for _ in 0..2 {
+            gw.admit(&facts(&gw, 9, 1, LONG)).await.expect("there is capacity");
+            crate::clock::sleep(Millis(1_000)).await;
+        }
+        report(&gw, SLOTS, 0);
+        let waiting: Vec<_> = (1..=3)
+            .map(|content| {
+                let (task_gw, facts) = (gw.clone(), facts(&gw, content, 1, Millis(1_500)));
+                executor.spawn(async move { task_gw.admit(&facts).await.is_ok() })
+            })
+            .collect();
+        while gw.waiting_requests() < 3 {
+            assert!(waiting.iter().all(|task| !task.is_finished()), "a request is refused");
+            smol::future::yield_now().await;
+        }
+    }));
+}
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -167,6 +167,8 @@
     pub bounds: Value,
     /// Whether its gateways reuse idle connections to engines.
     pub connection_reuse: bool,
+    /// Parts of the platform's rules that are in force, as in the settings files.
+    pub contracts: Vec<&'static str>,
     /// Region of each failure domain, as in the settings files.
     pub regions: Value,
     /// Loopback address of its gateways, which no other fleet uses.
@@ -198,6 +200,7 @@
             folder,
             bounds: json!({}),
             connection_reuse: false,
+            contracts: Vec::new(),
             regions: json!({"hall-1": "region-1"}),
             ip: fleet_address(n),
             ports: Vec::new(),
@@ -378,6 +381,7 @@
             "bounds": merged(bounds, &self.bounds),
             "platform": {"address": store.to_string()},
             "connection_reuse": self.connection_reuse,
+            "contracts": self.contracts,
         })
         .to_string()
     }
