--- a/gateway/src/customer_shares_tests.rs
+++ b/gateway/src/customer_shares_tests.rs
@@ -8,7 +8,7 @@
 use crate::gateway::Gateway;
 use crate::gossip::encode_datagram;
 use crate::metadata::HeaderCodec;
-use crate::peer_message::PeerMessage;
+use crate::peer_message::{LATER_FIELDS_BYTES, PeerMessage};
 
 /// Largest datagram, in bytes.
 const MAX_DATAGRAM: usize = 1_400;
@@ -41,7 +41,7 @@
     let message =
         || PeerMessage { sent: vec![(7, 300)], leaving: vec![u64::MAX], ..Default::default() };
     let bytes = postcard::to_stdvec(&message()).expect("bytes");
-    let earlier = &bytes[..bytes.len() - 2];
+    let earlier = &bytes[..bytes.len() - LATER_FIELDS_BYTES];
     assert!(postcard::from_bytes::<PeerMessage>(earlier).is_err());
     assert_eq!(PeerMessage::decode(earlier).expect("a message"), message());
     assert_eq!(PeerMessage::decode(&bytes).expect("a message"), message());
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -43,7 +43,7 @@
 }
 
 /// Bytes of the fields after `session`, if they are empty. Messages of earlier versions end without them.
-const LATER_FIELDS_BYTES: usize = 3;
+pub(crate) const LATER_FIELDS_BYTES: usize = 3;
 
 /// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
 /// milliseconds.
