fix(gateway): control the admission of streams only, and count promised returns once

Ruled out: servers without slots; no stream was refused. Change: plain calls are sent at once, as before; a gateway counts its part of the promised returns. The tests with real processes use streams.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -175,7 +175,9 @@
         let pending = if is_return || capacity.free_slots >= 1.0 {
             0
         } else {
-            self.returns.borrow().pending(&facts.service, now)
+            // Those of all gateways are known, and this one serves its part of them.
+            let fleet = self.with_feeds(|feeds| feeds.fleet_size()).max(1);
+            self.returns.borrow().pending(&facts.service, now).div_ceil(fleet)
         };
         match AdmissionPolicy.decide(&capacity, ahead + pending, rate, &facts.demand, now) {
             AdmissionDecision::Send => {
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -281,8 +281,12 @@
     }
 
     /// Waits before the first send until there is capacity, if admission is controlled.
+    ///
+    /// Plain calls are sent at once: they take tens of milliseconds, so that a report of their server's load is out of date
+    /// when it arrives, and callers were refused for whom there was capacity.
     async fn wait_for_admission(&mut self) -> Result<(), RequestError> {
-        if self.admitted_at.is_some() || self.sends > 0 || !self.gw.has_admission_control() {
+        let is_controlled = self.route.stream.is_some() && self.gw.has_admission_control();
+        if self.admitted_at.is_some() || self.sends > 0 || !is_controlled {
             return Ok(());
         }
         if let Err(refusal) = self.gw.admit(&self.admission_facts()).await {
