--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -12,7 +12,9 @@
 mod reports;
 mod restores;
 mod run;
+mod skew;
 mod testbed;
 
 pub use checks::{RequestRecord, violations};
 pub use run::{Outcome, Settings, run_seed};
+pub use skew::{FirstRead, PhaseResult, SkewOutcome, SkewSettings, run_skew};
--- /dev/null
+++ b/soak/src/skew.rs
@@ -0,0 +1,403 @@
+//! Sends most new connections to one gateway, while each gateway has a small share of a core.
+
+use std::collections::BTreeMap;
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::PathBuf;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::thread::Scope;
+use std::time::{Duration, Instant};
+
+use redwingfold_standins::fleet::throttle;
+use redwingfold_standins::platform::{
+    Arrival, Config, Conn, Plan, PlatformFleet, StreamPlan, message,
+};
+
+/// Time for which a caller waits for a connection, and then for its request to be read.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Time that a backend server takes for a call.
+const CALL_DURATION: Duration = Duration::from_millis(20);
+
+/// Pause between two requests on a kept connection.
+const KEPT_PAUSE: Duration = Duration::from_millis(200);
+
+/// Events of a long stream, and the pause before each.
+const STREAM_EVENTS: u64 = 60;
+const STREAM_PAUSE: Duration = Duration::from_millis(50);
+
+/// Number of backend servers.
+const ENGINES: usize = 4;
+
+/// Settings of a run.
+#[derive(Clone, Debug)]
+pub struct SkewSettings {
+    /// Path of the gateway binary.
+    pub program: PathBuf,
+    /// Seed of the choice of gateways.
+    pub seed: u64,
+    /// Number of gateways.
+    pub gateways: usize,
+    /// Share of a core that each gateway has; all of a core from 1.
+    pub core_share: f64,
+    /// Requests per second on new connections while they are spread evenly.
+    pub even_rate: f64,
+    /// Requests per second on new connections while most go to one gateway.
+    pub skewed_rate: f64,
+    /// Share of the new connections that go to that gateway.
+    pub skewed_share: f64,
+    /// How long the load is even before the skew, and again after it.
+    pub even: Duration,
+    /// Time from the beginning of the skew that is not measured.
+    pub settling: Duration,
+    /// How long the skew is measured.
+    pub skewed: Duration,
+    /// Time after which the connections go to a second gateway instead.
+    pub moves_after: Option<Duration>,
+    /// Connections to the first gateway that are kept, with a request every 200 ms on each.
+    pub kept_connections: usize,
+    /// Callers of the first gateway that receive one stream of 3 s after the other.
+    pub streams: usize,
+    /// Parts of the platform's rules that are in force.
+    pub contracts: Vec<&'static str>,
+}
+
+/// What became of a request at the first attempt that a gateway read.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum FirstRead {
+    /// It was served.
+    Served,
+    /// It got another status.
+    Failed(u16),
+    /// The caller left before it got a response.
+    TimedOut,
+    /// Its connections were refused, or closed before the request was read.
+    Unread,
+}
+
+/// Requests of one phase.
+#[derive(Clone, Debug, Default)]
+pub struct PhaseResult {
+    /// Number of requests by what became of their first read.
+    pub first_reads: BTreeMap<FirstRead, usize>,
+    /// Connections that were closed before their request was read.
+    pub closed_unread: usize,
+    /// Times of the served requests.
+    pub took: Vec<Duration>,
+}
+
+impl PhaseResult {
+    /// Returns the number of requests.
+    pub fn requests(&self) -> usize {
+        self.first_reads.values().sum()
+    }
+
+    /// Returns the share of the requests that were served at their first read.
+    pub fn served_share(&self) -> f64 {
+        let served = self.first_reads.get(&FirstRead::Served).copied().unwrap_or(0);
+        served as f64 / self.requests().max(1) as f64
+    }
+
+    /// Returns the time within which a share of the served requests was served.
+    pub fn quantile(&self, share: f64) -> Duration {
+        let mut took = self.took.clone();
+        took.sort_unstable();
+        let index = (took.len() as f64 * share) as usize;
+        took.get(index.min(took.len().saturating_sub(1))).copied().unwrap_or_default()
+    }
+}
+
+/// Result of a run.
+#[derive(Clone, Debug, Default)]
+pub struct SkewOutcome {
+    /// Before the skew.
+    pub before: PhaseResult,
+    /// From the beginning of the skew until it has settled.
+    pub settling: PhaseResult,
+    /// During the skew.
+    pub during: PhaseResult,
+    /// In the first second after the skew.
+    pub ending: PhaseResult,
+    /// From then on.
+    pub after: PhaseResult,
+    /// Requests on kept connections: those served, and all.
+    pub kept: (usize, usize),
+    /// Streams that were complete, and all.
+    pub streams: (usize, usize),
+    /// Log lines of the gateways.
+    pub lines: Vec<String>,
+    /// Metrics of the first gateway at the end.
+    pub metrics: String,
+    /// Processor time of the first gateway during the skew, as a share of a core.
+    pub processor_share: f64,
+}
+
+/// Phases of a run, by the time at which a request is sent.
+struct Phases {
+    skew: Duration,
+    measured: Duration,
+    ending: Duration,
+    after: Duration,
+    end: Duration,
+}
+
+impl Phases {
+    fn new(settings: &SkewSettings) -> Self {
+        let measured = settings.even + settings.settling;
+        let ending = measured + settings.skewed;
+        let after = ending + Duration::from_secs(1);
+        Self { skew: settings.even, measured, ending, after, end: after + settings.even }
+    }
+
+    fn is_skewed(&self, at: Duration) -> bool {
+        (self.skew..self.ending).contains(&at)
+    }
+
+    fn result<'a>(&self, outcome: &'a mut SkewOutcome, at: Duration) -> &'a mut PhaseResult {
+        match at {
+            at if at < self.skew => &mut outcome.before,
+            at if at < self.measured => &mut outcome.settling,
+            at if at < self.ending => &mut outcome.during,
+            at if at < self.after => &mut outcome.ending,
+            _ => &mut outcome.after,
+        }
+    }
+}
+
+/// Outcome of one attempt.
+enum Attempt {
+    Answered(u16),
+    TimedOut,
+    Unread,
+}
+
+/// Plays a skew.
+///
+/// # Panics
+///
+/// Panics if a process cannot be started.
+pub fn run_skew(settings: &SkewSettings) -> SkewOutcome {
+    let fleet = start_fleet(settings);
+    let callers: Vec<SocketAddr> = fleet.gateways.iter().map(|g| g.callers).collect();
+    let phases = Phases::new(settings);
+    let outcome = Mutex::new(SkewOutcome::default());
+    let stop = AtomicBool::new(false);
+    std::thread::scope(|scope| {
+        if settings.core_share < 1.0 {
+            for gateway in &fleet.gateways {
+                let (stop, share) = (&stop, settings.core_share);
+                scope.spawn(move || throttle(&gateway.process, share, stop));
+            }
+        }
+        let started_at = Instant::now();
+        send_beside(scope, settings, callers[0], &stop, &outcome);
+        send_load(scope, settings, &phases, &callers, started_at, &outcome, &fleet);
+        stop.store(true, Ordering::SeqCst);
+    });
+    let mut outcome = outcome.into_inner().expect("no caller panics");
+    outcome.lines = fleet.lines();
+    outcome.metrics =
+        redwingfold_standins::platform::get(fleet.gateways[0].metrics, "/metrics").text();
+    outcome
+}
+
+fn start_fleet(settings: &SkewSettings) -> PlatformFleet {
+    let mut fleet = PlatformFleet::new(&settings.program.display().to_string());
+    fleet.contracts.clone_from(&settings.contracts);
+    fleet.publish(&Config::default());
+    for n in 0..ENGINES {
+        let call = |_: &Arrival| Plan::Delayed(CALL_DURATION, 200, b"done".to_vec());
+        fleet.engine(&format!("p{n}"), "plain", call);
+        let stream = |_: &Arrival| {
+            Plan::Stream(StreamPlan {
+                events: STREAM_EVENTS,
+                pause: STREAM_PAUSE,
+                ..StreamPlan::default()
+            })
+        };
+        fleet.engine(&format!("m{n}"), "models", stream);
+    }
+    (0..settings.gateways).for_each(|_| {
+        fleet.start_ready();
+    });
+    fleet
+}
+
+/// Sends requests on new connections, each from a thread of its own, at the rates and to the gateways of the phases.
+fn send_load<'scope, 'env>(
+    scope: &'scope Scope<'scope, 'env>,
+    settings: &SkewSettings,
+    phases: &Phases,
+    callers: &[SocketAddr],
+    started_at: Instant,
+    outcome: &'scope Mutex<SkewOutcome>,
+    fleet: &PlatformFleet,
+) {
+    let mut rng = fastrand::Rng::with_seed(settings.seed);
+    let (mut at, mut number) = (Duration::ZERO, 0_u64);
+    let mut processor = None;
+    let mut threads = Vec::new();
+    while at < phases.end {
+        std::thread::sleep(at.saturating_sub(started_at.elapsed()));
+        if processor.is_none() && at >= phases.measured {
+            processor = Some((Instant::now(), processor_time(fleet)));
+        }
+        if at >= phases.ending
+            && let Some((since, used)) = processor.filter(|(since, _)| since.elapsed() > PATIENCE)
+        {
+            let share = (processor_time(fleet) - used) / since.elapsed().as_secs_f64();
+            let mut outcome = outcome.lock().expect("no caller panics");
+            if outcome.processor_share == 0.0 {
+                outcome.processor_share = share;
+            }
+        }
+        let first = choose_gateway(settings, phases, at, &mut rng);
+        let second = (first + rng.usize(1..settings.gateways)) % settings.gateways;
+        let addresses = [callers[first], callers[second]];
+        let phase = PhaseKey { at, number };
+        threads.push(scope.spawn(move || (phase, send_request(number, addresses))));
+        number += 1;
+        let rate = if phases.is_skewed(at) { settings.skewed_rate } else { settings.even_rate };
+        at += Duration::from_secs_f64(1.0 / rate);
+    }
+    let mut outcome = outcome.lock().expect("no caller panics");
+    for thread in threads {
+        let (phase, (first_read, closed_unread, took)) = thread.join().expect("no caller panics");
+        let result = phases.result(&mut outcome, phase.at);
+        *result.first_reads.entry(first_read).or_default() += 1;
+        result.closed_unread += closed_unread;
+        result.took.extend((first_read == FirstRead::Served).then_some(took));
+    }
+}
+
+/// A request and the time at which it was due.
+struct PhaseKey {
+    at: Duration,
+    #[allow(dead_code, reason = "for debugging")]
+    number: u64,
+}
+
+fn choose_gateway(
+    settings: &SkewSettings,
+    phases: &Phases,
+    at: Duration,
+    rng: &mut fastrand::Rng,
+) -> usize {
+    let has_moved = settings.moves_after.is_some_and(|after| at >= phases.skew + after);
+    let hot = usize::from(has_moved);
+    if phases.is_skewed(at) && rng.f64() < settings.skewed_share {
+        return hot;
+    }
+    match phases.is_skewed(at) {
+        true => (hot + rng.usize(1..settings.gateways)) % settings.gateways,
+        false => rng.usize(..settings.gateways),
+    }
+}
+
+/// Returns the processor time that the first gateway has used, in seconds.
+fn processor_time(fleet: &PlatformFleet) -> f64 {
+    let path = format!("/proc/{}/schedstat", fleet.gateways[0].process.id());
+    let text = std::fs::read_to_string(path).unwrap_or_default();
+    let nanos: f64 = text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0.0);
+    nanos / 1e9
+}
+
+/// Sends an idempotent request, and once more to another gateway if it was not read.
+fn send_request(number: u64, addresses: [SocketAddr; 2]) -> (FirstRead, usize, Duration) {
+    let began = Instant::now();
+    let mut closed_unread = 0;
+    for (attempt, address) in addresses.into_iter().enumerate() {
+        let text =
+            message("GET", "/look/a", &format!("r{number}-{attempt}"), "Deadline-Ms: 4000\r\n", "");
+        let first_read = match send_attempt(address, text.as_bytes()) {
+            Attempt::Answered(200) => FirstRead::Served,
+            Attempt::Answered(status) => FirstRead::Failed(status),
+            Attempt::TimedOut => FirstRead::TimedOut,
+            Attempt::Unread => {
+                closed_unread += 1;
+                continue;
+            }
+        };
+        return (first_read, closed_unread, began.elapsed());
+    }
+    (FirstRead::Unread, closed_unread, began.elapsed())
+}
+
+fn send_attempt(address: SocketAddr, bytes: &[u8]) -> Attempt {
+    let Ok(mut stream) = TcpStream::connect_timeout(&address, PATIENCE) else {
+        return Attempt::Unread;
+    };
+    stream.set_nodelay(true).ok();
+    stream.set_read_timeout(Some(PATIENCE)).ok();
+    if stream.write_all(bytes).is_err() {
+        return Attempt::Unread;
+    }
+    let mut reader = BufReader::new(stream);
+    let mut first = [0; 12];
+    match reader.read_exact(&mut first) {
+        Ok(()) => {
+            let status = std::str::from_utf8(&first[9..]).ok().and_then(|s| s.parse().ok());
+            Attempt::Answered(status.unwrap_or(0))
+        }
+        Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
+            Attempt::TimedOut
+        }
+        Err(_) => Attempt::Unread,
+    }
+}
+
+/// Sends requests on kept connections and receives streams beside the load.
+fn send_beside<'scope, 'env>(
+    scope: &'scope Scope<'scope, 'env>,
+    settings: &SkewSettings,
+    address: SocketAddr,
+    stop: &'scope AtomicBool,
+    outcome: &'scope Mutex<SkewOutcome>,
+) {
+    for caller in 0..settings.kept_connections {
+        scope.spawn(move || {
+            let mut conn = Conn::open(address).expect("a connection");
+            for n in 0.. {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let text = message("GET", "/look/a", &format!("k{caller}-{n}"), "", "");
+                let is_served =
+                    conn.write(text.as_bytes()).is_ok() && conn.read_response().status() == 200;
+                let mut outcome = outcome.lock().expect("no caller panics");
+                outcome.kept.0 += usize::from(is_served);
+                outcome.kept.1 += 1;
+                drop(outcome);
+                if !is_served {
+                    conn = Conn::open(address).expect("a connection");
+                }
+                std::thread::sleep(KEPT_PAUSE);
+            }
+        });
+    }
+    for caller in 0..settings.streams {
+        scope.spawn(move || {
+            let mut conn = Conn::open(address).expect("a connection");
+            for n in 0.. {
+                if stop.load(Ordering::SeqCst) {
+                    return;
+                }
+                let text =
+                    message("POST", "/draft/a", &format!("s{caller}-{n}"), STREAM_HEADERS, "x");
+                let is_whole = conn.write(text.as_bytes()).is_ok() && conn.read_response().is_whole;
+                let mut outcome = outcome.lock().expect("no caller panics");
+                outcome.streams.0 += usize::from(is_whole);
+                outcome.streams.1 += 1;
+                drop(outcome);
+                if !is_whole {
+                    conn = Conn::open(address).expect("a connection");
+                }
+            }
+        });
+    }
+}
+
+/// Headers of a stream.
+const STREAM_HEADERS: &str =
+    "Model: s\r\nToken-Usage: 900,50\r\nPrompt-Prefix: 1a:500,2b:300,3c:100\r\n";
--- a/standins/src/fleet/mod.rs
+++ b/standins/src/fleet/mod.rs
@@ -4,8 +4,10 @@
 mod launch;
 mod objects;
 mod process;
+mod throttle;
 
 pub use caller::{Answered, Ask, Caller};
 pub use launch::{Fleet, FleetBuilder, wait_until};
 pub use objects::{Objects, key_of};
 pub use process::Process;
+pub use throttle::throttle;
