feat(gateway): metrics of accepted connections, their wait, processor time, and callers who left

What callers saw: most requests that a gateway had read were not answered while most new connections went to it. The log told neither how long a connection waited before it was read, nor what share of the processor was used, nor what became of the requests.

Change: connection.accepted, connection.wait_ms, process.cpu_ms, request.caller_gone.sent and .not_sent. No decision is changed. The run of the skew counts connections that were not open in time apart from closed ones, and prints the processor share.

--- a/gateway/src/clock.rs
+++ b/gateway/src/clock.rs
@@ -25,6 +25,12 @@
     }
 }
 
+/// Returns the processor time that this process has used.
+pub(crate) fn processor_time() -> Millis {
+    let used = clock_gettime(ClockId::ProcessCPUTime);
+    Millis(used.tv_sec as u64 * 1000 + used.tv_nsec as u64 / 1_000_000)
+}
+
 /// Waits for a future, at most for `limit`; returns `None` on timeout.
 pub(crate) async fn within<T>(limit: Millis, future: impl Future<Output = T>) -> Option<T> {
     let timeout = async {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use smol::LocalExecutor;
 
 use crate::admission::AdmissionQueues;
-use crate::clock::{Clock, within};
+use crate::clock::{Clock, processor_time, within};
 use crate::connection_pool::ConnectionPool;
 use crate::exchange::{EncodedServers, OrderSnapshots};
 use crate::feeds::{Feed, Feeds, ServerChange};
@@ -433,6 +433,11 @@
         self.connections.get()
     }
 
+    /// Updates the gauge of the processor time that this process has used.
+    pub fn update_processor_gauge(&self) {
+        self.telemetry.gauge("process.cpu_ms", processor_time().0);
+    }
+
     /// Runs a task on the gateway's thread.
     pub fn spawn(&self, task: impl Future<Output = ()> + 'static) {
         self.executor.spawn(task).detach();
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -30,6 +30,9 @@
 /// Refusals, or connections that reached a different server, after which a request fails.
 const MAX_REFUSALS: u32 = 4;
 
+/// Outcome of a request whose caller left before it got a response.
+pub(crate) const CALLER_GONE: &str = "caller_gone";
+
 /// A request from its admission to the end of its response.
 pub(crate) struct InFlightRequest {
     pub(crate) gw: Rc<Gateway>,
@@ -137,7 +140,7 @@
             connect_failures: 0,
             refusals: 0,
             trial: None,
-            outcome: "caller_gone".to_owned(),
+            outcome: CALLER_GONE.to_owned(),
             server: None,
             confidence: None,
             last_confidence: None,
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -2,7 +2,7 @@
 
 use crate::admission::EndedRequest;
 use crate::attempt::{AttemptOutcome, UpstreamResponse};
-use crate::request::InFlightRequest;
+use crate::request::{CALLER_GONE, InFlightRequest};
 use redwingfold_core::{Arm, BackendServer};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -138,6 +138,13 @@
         let keepers = self.keepers_reply.map_or_else(String::new, |answer| answer.to_string());
         let resumed = self.metadata.resume_after.map_or_else(String::new, |id| id.to_string());
         gw.telemetry.count("request.count", 1);
+        if self.outcome == CALLER_GONE {
+            let counter = match self.sends {
+                0 => "request.caller_gone.not_sent",
+                _ => "request.caller_gone.sent",
+            };
+            gw.telemetry.count(counter, 1);
+        }
         gw.telemetry.time("request.ms", took.0);
         gw.telemetry.info(
             "request",
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -41,9 +41,12 @@
             gw.telemetry.count("connection.refused", 1);
             continue;
         }
+        gw.telemetry.count("connection.accepted", 1);
+        let accepted_at = gw.now();
         let gateway = gw.clone();
         gw.spawn(async move {
             gateway.connections.set(gateway.connections.get() + 1);
+            gateway.telemetry.time("connection.wait_ms", gateway.now().since(accepted_at).0);
             serve_connection(&gateway, stream).await;
             gateway.connections.set(gateway.connections.get() - 1);
         });
--- a/soak/src/bin/redwingfold-skew.rs
+++ b/soak/src/bin/redwingfold-skew.rs
@@ -97,9 +97,10 @@
 
 fn print_phase(name: &str, phase: &PhaseResult) {
     println!(
-        "{name:8} requests={} first_reads_served={:.3} closed_unread={} p50_ms={} p99_ms={} {:?}",
+        "{name:8} requests={} first_reads_served={:.3} unconnected={} closed_unread={} p50_ms={} p99_ms={} {:?}",
         phase.requests(),
         phase.served_share(),
+        phase.unconnected,
         phase.closed_unread,
         phase.quantile(0.5).as_millis(),
         phase.quantile(0.99).as_millis(),
--- a/soak/src/skew.rs
+++ b/soak/src/skew.rs
@@ -1,7 +1,7 @@
 //! Sends most new connections to one gateway, while each gateway has a small share of a core.
 
 use std::collections::BTreeMap;
-use std::io::{BufReader, ErrorKind, Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
 use std::sync::Mutex;
@@ -11,7 +11,7 @@
 
 use redwingfold_standins::fleet::throttle;
 use redwingfold_standins::platform::{
-    Arrival, Config, Conn, Plan, PlatformFleet, StreamPlan, message,
+    Arrival, Config, Conn, Plan, PlatformFleet, StreamPlan, get, message,
 };
 
 /// Time for which a caller waits for a connection, and then for its request to be read.
@@ -81,6 +81,8 @@
 pub struct PhaseResult {
     /// Number of requests by what became of their first read.
     pub first_reads: BTreeMap<FirstRead, usize>,
+    /// Connections that were refused, or not open in time.
+    pub unconnected: usize,
     /// Connections that were closed before their request was read.
     pub closed_unread: usize,
     /// Times of the served requests.
@@ -169,7 +171,18 @@
 enum Attempt {
     Answered(u16),
     TimedOut,
-    Unread,
+    /// The connection was refused, or not open in time.
+    Unconnected,
+    /// The connection was closed without a response.
+    Closed,
+}
+
+/// What became of one request.
+struct RequestResult {
+    first_read: FirstRead,
+    unconnected: usize,
+    closed_unread: usize,
+    took: Duration,
 }
 
 /// Plays a skew.
@@ -183,6 +196,7 @@
     let phases = Phases::new(settings);
     let outcome = Mutex::new(SkewOutcome::default());
     let stop = AtomicBool::new(false);
+    let started_at = Instant::now();
     std::thread::scope(|scope| {
         if settings.core_share < 1.0 {
             for gateway in &fleet.gateways {
@@ -190,15 +204,14 @@
                 scope.spawn(move || throttle(&gateway.process, share, stop));
             }
         }
-        let started_at = Instant::now();
+        scope.spawn(|| sample_processor_share(&fleet, &phases, started_at, &outcome));
         send_beside(scope, settings, callers[0], &stop, &outcome);
-        send_load(scope, settings, &phases, &callers, started_at, &outcome, &fleet);
+        send_load(scope, settings, &phases, &callers, started_at, &outcome);
         stop.store(true, Ordering::SeqCst);
     });
     let mut outcome = outcome.into_inner().expect("no caller panics");
     outcome.lines = fleet.lines();
-    outcome.metrics =
-        redwingfold_standins::platform::get(fleet.gateways[0].metrics, "/metrics").text();
+    outcome.metrics = get(fleet.gateways[0].metrics, "/metrics").text();
     outcome
 }
 
@@ -232,52 +245,31 @@
     callers: &[SocketAddr],
     started_at: Instant,
     outcome: &'scope Mutex<SkewOutcome>,
-    fleet: &PlatformFleet,
 ) {
     let mut rng = fastrand::Rng::with_seed(settings.seed);
     let (mut at, mut number) = (Duration::ZERO, 0_u64);
-    let mut processor = None;
     let mut threads = Vec::new();
     while at < phases.end {
         std::thread::sleep(at.saturating_sub(started_at.elapsed()));
-        if processor.is_none() && at >= phases.measured {
-            processor = Some((Instant::now(), processor_time(fleet)));
-        }
-        if at >= phases.ending
-            && let Some((since, used)) = processor.filter(|(since, _)| since.elapsed() > PATIENCE)
-        {
-            let share = (processor_time(fleet) - used) / since.elapsed().as_secs_f64();
-            let mut outcome = outcome.lock().expect("no caller panics");
-            if outcome.processor_share == 0.0 {
-                outcome.processor_share = share;
-            }
-        }
         let first = choose_gateway(settings, phases, at, &mut rng);
         let second = (first + rng.usize(1..settings.gateways)) % settings.gateways;
         let addresses = [callers[first], callers[second]];
-        let phase = PhaseKey { at, number };
-        threads.push(scope.spawn(move || (phase, send_request(number, addresses))));
+        threads.push((at, scope.spawn(move || send_request(number, addresses))));
         number += 1;
         let rate = if phases.is_skewed(at) { settings.skewed_rate } else { settings.even_rate };
         at += Duration::from_secs_f64(1.0 / rate);
     }
     let mut outcome = outcome.lock().expect("no caller panics");
-    for thread in threads {
-        let (phase, (first_read, closed_unread, took)) = thread.join().expect("no caller panics");
-        let result = phases.result(&mut outcome, phase.at);
-        *result.first_reads.entry(first_read).or_default() += 1;
-        result.closed_unread += closed_unread;
-        result.took.extend((first_read == FirstRead::Served).then_some(took));
+    for (sent_at, thread) in threads {
+        let sent = thread.join().expect("no caller panics");
+        let result = phases.result(&mut outcome, sent_at);
+        *result.first_reads.entry(sent.first_read).or_default() += 1;
+        result.unconnected += sent.unconnected;
+        result.closed_unread += sent.closed_unread;
+        result.took.extend((sent.first_read == FirstRead::Served).then_some(sent.took));
     }
 }
 
-/// A request and the time at which it was due.
-struct PhaseKey {
-    at: Duration,
-    #[allow(dead_code, reason = "for debugging")]
-    number: u64,
-}
-
 fn choose_gateway(
     settings: &SkewSettings,
     phases: &Phases,
@@ -295,58 +287,75 @@
     }
 }
 
+/// Measures the share of a core that the first gateway uses during the skew.
+fn sample_processor_share(
+    fleet: &PlatformFleet,
+    phases: &Phases,
+    started_at: Instant,
+    outcome: &Mutex<SkewOutcome>,
+) {
+    let sample_at = |at: Duration| {
+        std::thread::sleep(at.saturating_sub(started_at.elapsed()));
+        let used = processor_time(fleet);
+        (Instant::now(), used)
+    };
+    let (since, before) = sample_at(phases.measured);
+    let (until, after) = sample_at(phases.ending);
+    let share = (after - before) / until.duration_since(since).as_secs_f64();
+    outcome.lock().expect("no caller panics").processor_share = share;
+}
+
 /// Returns the processor time that the first gateway has used, in seconds.
 fn processor_time(fleet: &PlatformFleet) -> f64 {
-    let path = format!("/proc/{}/schedstat", fleet.gateways[0].process.id());
-    let text = std::fs::read_to_string(path).unwrap_or_default();
-    let nanos: f64 = text.split(' ').next().and_then(|n| n.parse().ok()).unwrap_or(0.0);
-    nanos / 1e9
+    let page = get(fleet.gateways[0].metrics, "/metrics").text();
+    let line = page.lines().find_map(|line| line.strip_prefix("redwingfold_process_cpu_ms "));
+    line.and_then(|ms| ms.parse::<f64>().ok()).map_or(0.0, |ms| ms / 1_000.0)
 }
 
 /// Sends an idempotent request, and once more to another gateway if it was not read.
-fn send_request(number: u64, addresses: [SocketAddr; 2]) -> (FirstRead, usize, Duration) {
+fn send_request(number: u64, addresses: [SocketAddr; 2]) -> RequestResult {
     let began = Instant::now();
-    let mut closed_unread = 0;
+    let (mut unconnected, mut closed_unread) = (0, 0);
+    let mut first_read = FirstRead::Unread;
     for (attempt, address) in addresses.into_iter().enumerate() {
-        let text =
-            message("GET", "/look/a", &format!("r{number}-{attempt}"), "Deadline-Ms: 4000\r\n", "");
-        let first_read = match send_attempt(address, text.as_bytes()) {
-            Attempt::Answered(200) => FirstRead::Served,
-            Attempt::Answered(status) => FirstRead::Failed(status),
-            Attempt::TimedOut => FirstRead::TimedOut,
-            Attempt::Unread => {
-                closed_unread += 1;
-                continue;
-            }
-        };
-        return (first_read, closed_unread, began.elapsed());
+        let id = format!("r{number}-{attempt}");
+        let text = message("GET", "/look/a", &id, "Deadline-Ms: 4000\r\n", "");
+        match send_attempt(address, text.as_bytes()) {
+            Attempt::Unconnected => unconnected += 1,
+            Attempt::Closed => closed_unread += 1,
+            Attempt::Answered(200) => first_read = FirstRead::Served,
+            Attempt::Answered(status) => first_read = FirstRead::Failed(status),
+            Attempt::TimedOut => first_read = FirstRead::TimedOut,
+        }
+        if first_read != FirstRead::Unread {
+            break;
+        }
     }
-    (FirstRead::Unread, closed_unread, began.elapsed())
+    RequestResult { first_read, unconnected, closed_unread, took: began.elapsed() }
 }
 
 fn send_attempt(address: SocketAddr, bytes: &[u8]) -> Attempt {
     let Ok(mut stream) = TcpStream::connect_timeout(&address, PATIENCE) else {
-        return Attempt::Unread;
+        return Attempt::Unconnected;
     };
     stream.set_nodelay(true).ok();
     stream.set_read_timeout(Some(PATIENCE)).ok();
-    if stream.write_all(bytes).is_err() {
-        return Attempt::Unread;
-    }
-    let mut reader = BufReader::new(stream);
-    let mut first = [0; 12];
-    match reader.read_exact(&mut first) {
-        Ok(()) => {
-            let status = std::str::from_utf8(&first[9..]).ok().and_then(|s| s.parse().ok());
-            Attempt::Answered(status.unwrap_or(0))
-        }
+    let mut status_line = [0; "HTTP/1.1 200".len()];
+    match stream.write_all(bytes).and_then(|()| stream.read_exact(&mut status_line)) {
+        Ok(()) => Attempt::Answered(parse_status(&status_line)),
         Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
             Attempt::TimedOut
         }
-        Err(_) => Attempt::Unread,
+        Err(_) => Attempt::Closed,
     }
 }
 
+/// Returns the status of a response; 0 if it cannot be read.
+fn parse_status(status_line: &[u8]) -> u16 {
+    let text = std::str::from_utf8(status_line).unwrap_or_default();
+    text.rsplit(' ').next().and_then(|status| status.parse().ok()).unwrap_or(0)
+}
+
 /// Sends requests on kept connections and receives streams beside the load.
 fn send_beside<'scope, 'env>(
     scope: &'scope Scope<'scope, 'env>,
