test(platform): a gateway with most callers refuses streams while the servers have room

What callers see: with admission control, while 85% of the new connections go to one of six gateways, streams wait at it until their callers leave, or are refused, though the servers run half of what they can.

The callers of the skew now read whole answers: with heads alone, streams were given up at once.

--- a/soak/src/bin/redwingfold-skew.rs
+++ b/soak/src/bin/redwingfold-skew.rs
@@ -40,6 +40,15 @@
     /// Callers of long streams at the first gateway.
     #[arg(long, default_value_t = 0)]
     streams: usize,
+    /// Milliseconds that a backend server takes for a request.
+    #[arg(long, default_value_t = 20)]
+    call_ms: u64,
+    /// Send streams rather than calls.
+    #[arg(long)]
+    sends_streams: bool,
+    /// Let the servers report no load.
+    #[arg(long)]
+    no_load_reports: bool,
     /// Whether servers with little capacity are expected (contract `pressure`).
     #[arg(long)]
     pressure: bool,
@@ -71,6 +80,9 @@
         moves_after: args.moves_after.map(Duration::from_secs),
         kept_connections: args.kept,
         streams: args.streams,
+        call_duration: Duration::from_millis(args.call_ms),
+        sends_streams: args.sends_streams,
+        reports_load: !args.no_load_reports,
         contracts: if args.pressure { vec!["base", "pressure"] } else { vec!["base"] },
     });
     print_phase("before", &outcome.before);
--- a/soak/src/skew.rs
+++ b/soak/src/skew.rs
@@ -11,15 +11,12 @@
 
 use redwingfold_standins::fleet::throttle;
 use redwingfold_standins::platform::{
-    Arrival, Config, Conn, Plan, PlatformFleet, StreamPlan, get, message,
+    Arrival, Config, Conn, EngineSpec, Plan, PlatformFleet, StreamPlan, get, message,
 };
 
 /// Time for which a caller waits for a connection, and then for its request to be read.
 const PATIENCE: Duration = Duration::from_secs(1);
 
-/// Time that a backend server takes for a call.
-const CALL_DURATION: Duration = Duration::from_millis(20);
-
 /// Pause between two requests on a kept connection.
 const KEPT_PAUSE: Duration = Duration::from_millis(200);
 
@@ -59,6 +56,12 @@
     pub kept_connections: usize,
     /// Callers of the first gateway that receive one stream of 3 s after the other.
     pub streams: usize,
+    /// Time that a backend server takes for a request on a new connection.
+    pub call_duration: Duration,
+    /// Whether these requests are streams, of one event, rather than calls.
+    pub sends_streams: bool,
+    /// Whether the backend servers report their load.
+    pub reports_load: bool,
     /// Parts of the platform's rules that are in force.
     pub contracts: Vec<&'static str>,
 }
@@ -220,16 +223,16 @@
     fleet.contracts.clone_from(&settings.contracts);
     fleet.publish(&Config::default());
     for n in 0..ENGINES {
-        let call = |_: &Arrival| Plan::Delayed(CALL_DURATION, 200, b"done".to_vec());
-        fleet.engine(&format!("p{n}"), "plain", call);
-        let stream = |_: &Arrival| {
-            Plan::Stream(StreamPlan {
-                events: STREAM_EVENTS,
-                pause: STREAM_PAUSE,
-                ..StreamPlan::default()
-            })
+        let spec = |id: &str, service: &str| EngineSpec {
+            reports_load: settings.reports_load,
+            ..EngineSpec::new(id, service, "v1", "hall-1")
         };
-        fleet.engine(&format!("m{n}"), "models", stream);
+        let duration = settings.call_duration;
+        let call = move |_: &Arrival| Plan::Delayed(duration, 200, b"done".to_vec());
+        fleet.engine_from_spec(spec(&format!("p{n}"), "plain"), None, call);
+        fleet.engine_from_spec(spec(&format!("m{n}"), "models"), None, move |a| {
+            plan_stream(a, duration)
+        });
     }
     (0..settings.gateways).for_each(|_| {
         fleet.start_ready();
@@ -237,6 +240,13 @@
     fleet
 }
 
+/// Streams of the path `/draft/long` take 3 s, others as long as a call.
+fn plan_stream(arrival: &Arrival, call_duration: Duration) -> Plan {
+    let is_long = arrival.head.line.contains("/draft/long");
+    let (events, pause) = if is_long { (STREAM_EVENTS, STREAM_PAUSE) } else { (1, call_duration) };
+    Plan::Stream(StreamPlan { events, pause, ..StreamPlan::default() })
+}
+
 /// Sends requests on new connections, each from a thread of its own, at the rates and to the gateways of the phases.
 fn send_load<'scope, 'env>(
     scope: &'scope Scope<'scope, 'env>,
@@ -248,13 +258,14 @@
 ) {
     let mut rng = fastrand::Rng::with_seed(settings.seed);
     let (mut at, mut number) = (Duration::ZERO, 0_u64);
+    let sends_streams = settings.sends_streams;
     let mut threads = Vec::new();
     while at < phases.end {
         std::thread::sleep(at.saturating_sub(started_at.elapsed()));
         let first = choose_gateway(settings, phases, at, &mut rng);
         let second = (first + rng.usize(1..settings.gateways)) % settings.gateways;
         let addresses = [callers[first], callers[second]];
-        threads.push((at, scope.spawn(move || send_request(number, addresses))));
+        threads.push((at, scope.spawn(move || send_request(sends_streams, number, addresses))));
         number += 1;
         let rate = if phases.is_skewed(at) { settings.skewed_rate } else { settings.even_rate };
         at += Duration::from_secs_f64(1.0 / rate);
@@ -313,13 +324,19 @@
 }
 
 /// Sends an idempotent request, and once more to another gateway if it was not read.
-fn send_request(number: u64, addresses: [SocketAddr; 2]) -> RequestResult {
+fn send_request(is_stream: bool, number: u64, addresses: [SocketAddr; 2]) -> RequestResult {
     let began = Instant::now();
     let (mut unconnected, mut closed_unread) = (0, 0);
     let mut first_read = FirstRead::Unread;
     for (attempt, address) in addresses.into_iter().enumerate() {
         let id = format!("r{number}-{attempt}");
-        let text = message("GET", "/look/a", &id, "Deadline-Ms: 4000\r\n", "");
+        let text = match is_stream {
+            true => {
+                let headers = format!("{CALL_HEADERS}{STREAM_HEADERS}");
+                message("POST", "/draft/short", &id, &headers, "x")
+            }
+            false => message("GET", "/look/a", &id, CALL_HEADERS, ""),
+        };
         match send_attempt(address, text.as_bytes()) {
             Attempt::Unconnected => unconnected += 1,
             Attempt::Closed => closed_unread += 1,
@@ -340,20 +357,22 @@
     };
     stream.set_nodelay(true).ok();
     stream.set_read_timeout(Some(PATIENCE)).ok();
-    let mut status_line = [0; "HTTP/1.1 200".len()];
-    match stream.write_all(bytes).and_then(|()| stream.read_exact(&mut status_line)) {
-        Ok(()) => Attempt::Answered(parse_status(&status_line)),
+    let mut response = Vec::new();
+    match stream.write_all(bytes).and_then(|()| stream.read_to_end(&mut response)) {
+        Ok(_) if response.is_empty() => Attempt::Closed,
+        Ok(_) => Attempt::Answered(parse_status(&response)),
         Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => {
             Attempt::TimedOut
         }
-        Err(_) => Attempt::Closed,
+        Err(_) if response.is_empty() => Attempt::Closed,
+        Err(_) => Attempt::Answered(0),
     }
 }
 
 /// Returns the status of a response; 0 if it cannot be read.
-fn parse_status(status_line: &[u8]) -> u16 {
-    let text = std::str::from_utf8(status_line).unwrap_or_default();
-    text.rsplit(' ').next().and_then(|status| status.parse().ok()).unwrap_or(0)
+fn parse_status(response: &[u8]) -> u16 {
+    let status = response.get("HTTP/1.1 ".len().."HTTP/1.1 200".len()).unwrap_or_default();
+    std::str::from_utf8(status).ok().and_then(|status| status.parse().ok()).unwrap_or(0)
 }
 
 /// Sends requests on kept connections and receives streams beside the load.
@@ -393,7 +412,7 @@
                     return;
                 }
                 let text =
-                    message("POST", "/draft/a", &format!("s{caller}-{n}"), STREAM_HEADERS, "x");
+                    message("POST", "/draft/long", &format!("s{caller}-{n}"), STREAM_HEADERS, "x");
                 let is_whole = conn.write(text.as_bytes()).is_ok() && conn.read_response().is_whole;
                 let mut outcome = outcome.lock().expect("no caller panics");
                 outcome.streams.0 += usize::from(is_whole);
@@ -407,6 +426,9 @@
     }
 }
 
+/// Headers of a request on a connection of its own.
+const CALL_HEADERS: &str = "Deadline-Ms: 4000\r\nConnection: close\r\n";
+
 /// Headers of a stream.
 const STREAM_HEADERS: &str =
     "Model: s\r\nToken-Usage: 900,50\r\nPrompt-Prefix: 1a:500,2b:300,3c:100\r\n";
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -105,6 +105,8 @@
     pub models: Vec<String>,
     /// Failure domain.
     pub domain: String,
+    /// Whether its responses report its load.
+    pub reports_load: bool,
 }
 
 impl EngineSpec {
@@ -117,6 +119,7 @@
             version: version.to_owned(),
             models: models.iter().map(|model| (*model).to_owned()).collect(),
             domain: domain.to_owned(),
+            reports_load: true,
         }
     }
 }
@@ -484,6 +487,10 @@
 
     fn head(&self, arrival: &Arrival, status: u16, extra_headers: &str) -> String {
         let running = self.running.load(Ordering::SeqCst);
+        let load = match self.spec.reports_load {
+            true => format!("Instance-Load: {running},0,8\r\n"),
+            false => String::new(),
+        };
         let cold = self.cold().map_or_else(String::new, |cold| {
             format!("Cold-Ms: {}\r\n", (cold.until - Instant::now()).as_millis())
         });
@@ -494,7 +501,7 @@
         let leaving = if is_leaving { "Server-Leaving: 1\r\n" } else { "" };
         format!(
             "HTTP/1.1 {status} Any\r\nAttempt-Id: {}\r\nResponse-Stamp: by-{}\r\n\
-             Instance-Load: {running},0,8\r\n{cold}{limit}{leaving}{extra_headers}",
+             {load}{cold}{limit}{leaving}{extra_headers}",
             arrival.id(),
             self.spec.id,
         )
