fix(gateway): lend parts of the servers' slots to gateways with most of the callers

What callers saw: with admission control, while 85% of the new connections went to one of six gateways, streams waited there until their callers left, or were refused, though the servers ran less than half of what they can.

Cause: each gateway used one nth of the free slots, however the callers were spread, so that five sixths were kept for gateways without callers.

Change: a gateway that uses most of its part asks its peers for capacity, and they lend what they do not need, for 0.6 s. The lender counts a loan for longer than the borrower, from a request that was sent before, so that all parts together are never more than the whole, whatever messages are lost or late (core: capacity_loans, 3 to 330 gateways). A lender is bounded over all servers of the service, as the one slot at each server would exceed what it has left. Messages to one gateway have two new kinds, after those on sessions; messages of earlier versions are read as before.

Ruled out: the processor (a whole core each), and the servers (12 of 32 slots in use).

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -54,14 +54,14 @@
 pub use serving::{
     AcceptPolicy, AcceptQueue, Admission, AdmissionDecision, AdmissionPolicy, Affinity,
     AllowedRegions, AnswerCounts, AnswerSums, Arm, ArmChoice, Awaited, BackendId, BackendServer,
-    BaselineLatency, BrokenRun, CallLimits, Canary, CanaryPolicy, Capacity, Catalog, ColdLimit,
-    ColdPolicy, ConfidenceGains, ConnectTimeout, ConnectionKey, ConnectionReusePolicy,
+    BaselineLatency, BrokenRun, CallLimits, Canary, CanaryPolicy, Capacity, CapacityLoans, Catalog,
+    ColdLimit, ColdPolicy, ConfidenceGains, ConnectTimeout, ConnectionKey, ConnectionReusePolicy,
     CurrentSlowdown, Customer, CustomerShares, Demand, DomainRegions, EndedRun, EvacuationChange,
     Evacuations, EventId, EventSplitter, ExposureBudget, Fault, FeedHistory, FeedPositions,
     FeedUpdate, FeedUpdateOutcome, FeedView, Fingerprint, FleetEvidence, Headroom, HeadroomPolicy,
     HeadroomPressure, HealthPolicy, Idempotency, IdleConnections, IdleTimeout, InterruptedRuns,
     KeepAlive, KnownStatus, LargerModel, LatencySums, LeavingServers, LimitChange, LimitPolicy,
-    LoadSample, Mark, MarkChange, Members, MovedSessions, OrderAge, PeerLoad, PeerLoads,
+    LoadSample, Mark, MarkChange, Members, MovedSessions, OrderAge, Part, PeerLoad, PeerLoads,
     PeerServerList, Phase, Place, PlacementPolicy, PrefillRates, Pressure, Priority, PutOutcome,
     Quarantine, QuarantinePolicy, QueueFull, Registry, RegistryPolicy, ReportNumbers,
     RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, Return, ReturnCounts,
@@ -70,6 +70,6 @@
     ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
     StartRate, StreamRules, StreamTimes, SuspectTrial, UnreachableServers, UrgencyPolicy,
     WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter, is_in_first_half,
-    lead_servers, place,
+    lead_servers, place, service_hash,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/headroom/mod.rs
+++ b/core/src/serving/headroom/mod.rs
@@ -6,6 +6,7 @@
 pub use pressure::HeadroomPressure;
 pub use run_times::{Run, RunTimes};
 
+use super::capacity_loans::Part;
 use crate::ids::Millis;
 
 /// Maximum age of a load report; runs last a few seconds, so that an older report says little about the present.
@@ -88,6 +89,12 @@
 }
 
 impl Headroom {
+    /// Returns it with no more than `slots` free slots.
+    #[must_use]
+    pub fn limited_to(self, slots: u32) -> Self {
+        Self { free_slots: self.free_slots.min(f64::from(slots)), ..self }
+    }
+
     /// Returns the expected time until the first event of a new prompt that takes `prefill` to read.
     ///
     /// ```
@@ -128,7 +135,8 @@
 }
 
 impl HeadroomPolicy {
-    /// Returns the capacity of a server for requests like `run`, in a fleet of `fleet` gateways.
+    /// Returns the capacity of a server for requests like `run`. `part` is that of this gateway, or the number of
+    /// gateways if it neither lends nor borrows.
     ///
     /// A gateway that does not know the size of the fleet, because it has just started, passes 0. It then uses at most
     /// one slot of the server before the next report. A single gateway passes 1.
@@ -144,25 +152,27 @@
     /// let free = |fleet| HeadroomPolicy::default().server(&facts, Run::default(), fleet).free_slots;
     /// assert_eq!((free(0), free(1), free(3), free(330)), (1.0, 18.0, 6.0, 1.0));
     /// ```
-    pub fn server(&self, facts: &ServerFacts, run: Run, fleet: usize) -> Headroom {
+    pub fn server(&self, facts: &ServerFacts, run: Run, part: impl Into<Part>) -> Headroom {
+        let part = part.into();
         let report = facts.capped_report();
         let valid = report.filter(|report| report.age <= self.max_report_age);
         let free_tokens = facts.free_tokens(valid, run);
         let free_slots = match (valid, report) {
             (Some(valid), _) => {
-                part_of(facts.reported_free(valid, run), fleet).saturating_sub(facts.unseen())
+                part.of(facts.reported_free(valid, run)).saturating_sub(facts.unseen())
             }
-            (None, Some(expired)) => part_of(facts.reported_free(expired, run).max(1), fleet)
+            (None, Some(expired)) => part
+                .of(facts.reported_free(expired, run).max(1))
                 .saturating_sub(facts.unseen())
-                .min(facts.free_without_report(run, fleet)),
-            (None, None) => facts.free_without_report(run, fleet),
+                .min(facts.free_without_report(run, part)),
+            (None, None) => facts.free_without_report(run, part),
         };
         Headroom {
             free_slots: f64::from(free_slots),
             free_tokens,
             prefill_wait: facts.prefill_wait,
             next_slot: match free_slots {
-                0 => facts.next_slot(valid, run, fleet),
+                0 => facts.next_slot(valid, run, part),
                 _ => Millis(0),
             },
             age: facts.report.map(|report| report.age),
@@ -227,13 +237,6 @@
     }
 }
 
-/// Returns the part of `slots` that one of `fleet` gateways uses: at least one if there is one, and no more than one if
-/// the size of the fleet is unknown (0).
-fn part_of(slots: u32, fleet: usize) -> u32 {
-    let fleet = u32::try_from(fleet).unwrap_or(u32::MAX);
-    slots.checked_div(fleet).unwrap_or(0).max(slots.min(1))
-}
-
 /// Returns how many requests of `tokens` each fit in the memory.
 fn runs_in(free_tokens: Option<u64>, tokens: u64) -> u32 {
     let runs = free_tokens.and_then(|free| free.checked_div(tokens));
@@ -274,22 +277,22 @@
     }
 
     /// Returns the requests that may be sent if only those of this gateway are known.
-    fn free_without_report(&self, run: Run, fleet: usize) -> u32 {
+    fn free_without_report(&self, run: Run, part: Part) -> u32 {
         let fitting = runs_in(self.free_tokens(None, run), run.tokens);
-        part_of(self.slots.min(fitting.saturating_add(self.own_running)), fleet)
+        part.of(self.slots.min(fitting.saturating_add(self.own_running)))
             .saturating_sub(self.own_running)
     }
 
     /// Returns the expected time until this request can start if no slot is free now: after one completion for each
     /// request ahead of it and one for itself.
-    fn next_slot(&self, valid: Option<LoadSample>, run: Run, fleet: usize) -> Millis {
+    fn next_slot(&self, valid: Option<LoadSample>, run: Run, part: Part) -> Millis {
         let fits_now = runs_in(self.free_tokens(valid, run), run.tokens) > 0;
         // The requests at the server or, without a report, in the part of this gateway; and the slots that they use.
         let (present, slots) = match valid {
             Some(report) => {
                 ((report.running + report.waiting).saturating_add(self.unseen()), self.slots)
             }
-            None => (self.own_running, part_of(self.slots, fleet)),
+            None => (self.own_running, part.of(self.slots)),
         };
         let ending = if fits_now { slots } else { slots.min(present).max(1) };
         match self.memory_tokens {
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -8,6 +8,7 @@
 mod budget;
 mod canary;
 mod canary_policy;
+mod capacity_loans;
 mod catalog;
 mod cold;
 mod connect_timeout;
@@ -51,6 +52,7 @@
 pub use budget::{ResendBudget, ResendReason};
 pub use canary::{Affinity, Arm, ArmChoice, Canary, OrderAge, Phase, RolloutOrder};
 pub use canary_policy::CanaryPolicy;
+pub use capacity_loans::{CapacityLoans, Part};
 pub use catalog::{
     BackendId, CallLimits, Catalog, Customer, Idempotency, Priority, Route, RouteName, Service,
     ServiceName, StreamRules,
@@ -82,7 +84,7 @@
     BackendServer, PeerServerList, PutOutcome, Registry, RegistryPolicy, ServerState,
 };
 pub use retry_after::RetryAfterTimes;
-pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule};
+pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule, service_hash};
 pub use sessions::{MovedSessions, SessionKey};
 pub use shares::{CustomerShares, ReportNumbers};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
--- a/core/src/serving/returns/mod.rs
+++ b/core/src/serving/returns/mod.rs
@@ -196,7 +196,7 @@
     (now.since(EXPIRES_AFTER), now.after(ARRIVAL_TOLERANCE))
 }
 
-/// Identifies a service in messages between gateways. If two names have the same hash, their promises share positions.
-fn service_hash(service: &ServiceName) -> u32 {
+/// Identifies a service in messages between gateways. Services whose names have the same hash share promises and loans.
+pub fn service_hash(service: &ServiceName) -> u32 {
     xxh3_64(service.as_str().as_bytes()) as u32
 }
--- a/core/src/serving/turns.rs
+++ b/core/src/serving/turns.rs
@@ -46,9 +46,12 @@
         }
     }
 
+    fn is_settled(&self, now: Millis) -> bool {
+        self.settling_from.is_some_and(|at| now.since(at) >= SETTLING_TIME)
+    }
+
     fn size(&self, now: Millis) -> usize {
-        let is_settled = self.settling_from.is_some_and(|at| now.since(at) >= SETTLING_TIME);
-        let least = if is_settled { 1 } else { DEFAULT_FLEET };
+        let least = if self.is_settled(now) { 1 } else { DEFAULT_FLEET };
         self.largest.max(least)
     }
 }
@@ -103,6 +106,11 @@
         self.fleet.size(now)
     }
 
+    /// Returns whether messages from all other gateways could have arrived, so that their number is known.
+    pub fn is_fleet_known(&self, now: Millis) -> bool {
+        self.fleet.is_settled(now)
+    }
+
     /// Returns the time until this gateway may send to a server that accepts `rate` from all gateways combined; `draw`
     /// is a random number.
     pub fn wait(&mut self, id: &BackendId, rate: RequestRate, now: Millis, draw: u64) -> Millis {
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -8,8 +8,8 @@
 use event_listener::Event;
 use redwingfold_core::{
     AdmissionDecision, AdmissionPolicy, BackendServer, Capacity, Demand, Fingerprint, Headroom,
-    HeadroomPolicy, Millis, Registry, Run, RunTimes, ServerState, ServiceName, StartRate,
-    WaitQueue, Waiting,
+    HeadroomPolicy, Millis, Registry, Run, RunTimes, ServerFacts, ServerState, ServiceName,
+    StartRate, WaitQueue, Waiting,
 };
 
 use crate::clock::{sleep, within};
@@ -323,7 +323,8 @@
         let duration = self.expected_duration(service).0.max(1) as f64;
         // While the fleet is unknown, this counts the known gateways: a refusal for want of an estimate helps nobody.
         let fleet = self.with_feeds(|feeds| feeds.fleet_size()).max(1) as f64;
-        started.max(f64::from(slots) * 1_000.0 / duration / fleet)
+        let share = self.capacity_part(service, now).share().max(1.0 / fleet);
+        started.max(f64::from(slots) * 1_000.0 / duration * share)
     }
 
     fn usable_servers<'a>(
@@ -350,26 +351,38 @@
 
     fn service_headroom(&self, service: &ServiceName, now: Millis) -> Option<Headroom> {
         let run = self.admissions.run_times.borrow().run(service);
-        let fleet = self.send_turns.borrow().fleet(now);
+        let part = self.capacity_part(service, now);
         let memory = self.catalog().and_then(|c| c.service(service)?.memory_tokens);
+        let (mut slots, mut running) = (0_u32, 0_u32);
         let rooms: Vec<Headroom> = self.with_registry(|registry| {
             let servers = self.usable_servers(service, registry, now);
-            servers.map(|server| self.server_headroom(server, memory, run, fleet, now)).collect()
+            let room = |server: &BackendServer| {
+                let facts = self.server_facts(server, memory, run, now);
+                slots = slots.saturating_add(facts.slots);
+                running = running.saturating_add(facts.own_running);
+                HeadroomPolicy::default().server(&facts, run, part)
+            };
+            servers.map(room).collect()
         });
-        (!rooms.is_empty()).then(|| HeadroomPolicy::default().service(rooms))
+        if rooms.is_empty() {
+            return None;
+        }
+        self.record_capacity_use(service, running, slots, now);
+        let headroom = HeadroomPolicy::default().service(rooms);
+        let max = part.of_lent_service(slots).map_or(u32::MAX, |max| max.saturating_sub(running));
+        Some(headroom.limited_to(max))
     }
 
-    fn server_headroom(
+    fn server_facts(
         &self,
         server: &BackendServer,
         memory: Option<u64>,
         run: Run,
-        fleet: usize,
         now: Millis,
-    ) -> Headroom {
-        let mut facts = self.loads.facts(server, memory, now);
-        facts.report = facts.report.map(|report| report.remaining(facts.slots, run));
-        HeadroomPolicy::default().server(&facts, run, fleet)
+    ) -> ServerFacts {
+        let facts = self.loads.facts(server, memory, now);
+        let report = facts.report.map(|report| report.remaining(facts.slots, run));
+        ServerFacts { report, ..facts }
     }
 
     /// Returns the number of requests that wait at this gateway.
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -18,6 +18,7 @@
 
 use crate::accept::OpenConnections;
 use crate::admission::AdmissionQueues;
+use crate::capacity_loans::LoanTable;
 use crate::clock::{Clock, processor_time, within};
 use crate::connection_pool::ConnectionPool;
 use crate::exchange::{EncodedServers, OrderSnapshots};
@@ -128,6 +129,7 @@
     /// Whether a server has reported that it shares its host.
     pub(crate) has_shared_hosts: Cell<bool>,
     pub(crate) admissions: AdmissionQueues,
+    pub(crate) loan_table: LoanTable,
     lifecycle: Cell<Lifecycle>,
     stop_deadline: Cell<Millis>,
     /// Notified when the configuration, the servers or the lifecycle changed.
@@ -208,6 +210,7 @@
             pressure: Cell::default(),
             has_shared_hosts: Cell::default(),
             admissions: AdmissionQueues::default(),
+            loan_table: LoanTable::default(),
             lifecycle: Cell::default(),
             stop_deadline: Cell::new(Millis(u64::MAX)),
             state_changed: Event::new(),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -13,7 +13,7 @@
 use crate::clock::{sleep, within};
 use crate::feeds::{Audience, Feed, ServerChange};
 use crate::gateway::Gateway;
-use crate::peer_message::{PeerMessage, RolloutWire};
+use crate::peer_message::{DirectMessage, PeerMessage, RolloutWire};
 use crate::peer_table::PeerTable;
 use crate::rollout_report::RolloutReport;
 
@@ -59,6 +59,10 @@
 /// gateway read the store itself, and callers waited 30 s instead of 8.5 s.
 const BYTES_RESERVED_FROM_ADDRESSES: u64 = 10_000;
 
+/// Number of peers that are asked for capacity at once. Each message takes some 25 bytes, and they are sent four times a
+/// second while a gateway has most of the callers.
+const MAX_LENDERS: usize = 48;
+
 /// Most addresses in a message. Each takes eight bytes.
 const MAX_ADDRESSES_PER_MESSAGE: usize = 150;
 
@@ -106,6 +110,7 @@
     /// Sends urgent messages: reads of the store and ends of rollouts to all peers, fetches and new addresses to a few.
     async fn send_urgent(&mut self) {
         self.send_addresses_to_newcomers().await;
+        self.send_capacity_messages().await;
         let is_urgent = self.gw.with_rollouts(|r| r.take_urgent_report());
         let rollouts = if is_urgent { rollout_messages(&self.gw) } else { Vec::new() };
         let (feeds, audience) = feeds_message(&self.gw);
@@ -118,6 +123,23 @@
         }
     }
 
+    /// Sends requests for capacity to a random part of the peers, and loans to their borrowers.
+    async fn send_capacity_messages(&mut self) {
+        for request in self.gw.loan_table.take_requests() {
+            let mut live = self.shuffled_live_peers();
+            live.truncate(MAX_LENDERS);
+            self.send_direct(DirectMessage::CapacityRequest(request), &live).await;
+        }
+        for (borrower, loan) in self.gw.loan_table.take_replies() {
+            self.send_direct(DirectMessage::CapacityLoan(loan), &[borrower]).await;
+        }
+    }
+
+    async fn send_direct(&mut self, message: DirectMessage, peers: &[SocketAddr]) {
+        let message = PeerMessage { direct: Some(message.into()), ..PeerMessage::default() };
+        self.send(message, peers, BYTES_RESERVED_FOR_FEEDS).await;
+    }
+
     /// Sends the addresses of all peers to newcomers and, if new ones were added, to a few others.
     async fn send_addresses_to_newcomers(&mut self) {
         let (has_new_peers, mut recipients) =
@@ -334,7 +356,12 @@
             gw.with_feeds(|feeds| feeds.apply_marks_update(position.into(), marks, now));
         gw.apply_peer_marks(from, &new_marks);
     }
-    message.session.iter().for_each(|session| gw.handle_session_message(from, *session));
+    match message.direct.map(DirectMessage::from) {
+        None => {}
+        Some(DirectMessage::Session(session)) => gw.handle_session_message(from, session),
+        Some(DirectMessage::CapacityRequest(request)) => gw.lend_capacity(from, request),
+        Some(DirectMessage::CapacityLoan(loan)) => gw.accept_capacity(from, loan),
+    }
     if !message.shares.is_empty() {
         gw.apply_peer_shares(from, message.shares_number, &message.shares);
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission_tests;
 mod attempt;
 mod availability;
+mod capacity_loans;
 mod clock;
 mod cold;
 mod connection_pool;
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -9,6 +9,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::capacity_loans::{CapacityLoan, CapacityRequest};
 use crate::feeds::ServerChange;
 use crate::load::{LimitUpdate, LoadUpdate};
 use crate::rollout_report::{RolloutReport, StoredStatus};
@@ -34,7 +35,7 @@
     pub(crate) limits: Vec<LimitWire>,
     /// Incarnation hashes of servers that are leaving.
     pub(crate) leaving: Vec<u64>,
-    pub(crate) session: Option<SessionMessage>,
+    pub(crate) direct: Option<DirectWire>,
     /// Number of the report in `shares`, by which receivers detect missed and repeated ones.
     pub(crate) shares_number: u32,
     /// Work sent since the last report: hash of the customer's name, and milliseconds of server time.
@@ -42,7 +43,7 @@
     pub(crate) returns: Vec<ReturnWire>,
 }
 
-/// Bytes of the fields after `session`, if they are empty. Messages of earlier versions end without them.
+/// Bytes of the fields after `direct`, if they are empty. Messages of earlier versions end without them.
 pub(crate) const LATER_FIELDS_BYTES: usize = 3;
 
 /// A server's limit: incarnation hash, requests per second (`None` if the limit was cleared), age of the answer in
@@ -55,6 +56,70 @@
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct ReturnWire(u64, u16, u32, u16);
 
+/// A message to one gateway. The variants of [`SessionMessage`] come first, with the same values as in earlier versions.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
+pub(crate) enum DirectWire {
+    Moved(u64),
+    Query(u32, u64),
+    ForwardedQuery(u32, u64, SocketAddr),
+    Reply(u32, bool, u8),
+    CapacityRequest(u16, u32),
+    /// Share in 65,535ths of the whole.
+    CapacityLoan(u16, u32, u16),
+}
+
+/// A message to one gateway.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum DirectMessage {
+    Session(SessionMessage),
+    CapacityRequest(CapacityRequest),
+    CapacityLoan(CapacityLoan),
+}
+
+impl From<DirectMessage> for DirectWire {
+    fn from(message: DirectMessage) -> Self {
+        match message {
+            DirectMessage::Session(SessionMessage::Moved(session)) => Self::Moved(session),
+            DirectMessage::Session(SessionMessage::Query(id, session)) => Self::Query(id, session),
+            DirectMessage::Session(SessionMessage::ForwardedQuery(id, session, requester)) => {
+                Self::ForwardedQuery(id, session, requester)
+            }
+            DirectMessage::Session(SessionMessage::Reply(id, has_moved, keepers)) => {
+                Self::Reply(id, has_moved, keepers)
+            }
+            DirectMessage::CapacityRequest(CapacityRequest { number, service }) => {
+                Self::CapacityRequest(number, service)
+            }
+            // Rounded down, so that the borrower never has more than was lent.
+            DirectMessage::CapacityLoan(CapacityLoan { number, service, share }) => {
+                Self::CapacityLoan(number, service, (share * f64::from(u16::MAX)) as u16)
+            }
+        }
+    }
+}
+
+impl From<DirectWire> for DirectMessage {
+    fn from(message: DirectWire) -> Self {
+        match message {
+            DirectWire::Moved(session) => Self::Session(SessionMessage::Moved(session)),
+            DirectWire::Query(id, session) => Self::Session(SessionMessage::Query(id, session)),
+            DirectWire::ForwardedQuery(id, session, requester) => {
+                Self::Session(SessionMessage::ForwardedQuery(id, session, requester))
+            }
+            DirectWire::Reply(id, has_moved, keepers) => {
+                Self::Session(SessionMessage::Reply(id, has_moved, keepers))
+            }
+            DirectWire::CapacityRequest(number, service) => {
+                Self::CapacityRequest(CapacityRequest { number, service })
+            }
+            DirectWire::CapacityLoan(number, service, share) => {
+                let share = f64::from(share) / f64::from(u16::MAX);
+                Self::CapacityLoan(CapacityLoan { number, service, share })
+            }
+        }
+    }
+}
+
 /// Position in a feed: offset from which changes are included, next offset, age in milliseconds.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub(crate) struct FeedWire(u64, u64, u32);
--- a/gateway/src/session_keepers.rs
+++ b/gateway/src/session_keepers.rs
@@ -11,13 +11,12 @@
 
 use async_channel::{Receiver, Sender, bounded};
 use redwingfold_core::{Millis, SessionKey};
-use serde::{Deserialize, Serialize};
 use smol::net::UdpSocket;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::{sleep, within};
 use crate::gateway::Gateway;
-use crate::peer_message::PeerMessage;
+use crate::peer_message::{DirectMessage, PeerMessage};
 use crate::peer_table::PeerTable;
 
 /// Longest wait for the replies of a session's keepers.
@@ -37,7 +36,7 @@
 
 /// A message between gateways about a session, which is identified by its key. The sender of a query chooses the
 /// query id.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum SessionMessage {
     /// The session has moved.
     Moved(u64),
@@ -340,7 +339,8 @@
 /// one that sent the query, so the request rate bounds them.
 pub async fn send_session_messages(gw: Rc<Gateway>, socket: UdpSocket) {
     while let Ok((to, message)) = gw.session_keepers.outbox_rx.recv().await {
-        let message = PeerMessage { session: Some(message), ..PeerMessage::default() };
+        let direct = Some(DirectMessage::Session(message).into());
+        let message = PeerMessage { direct, ..PeerMessage::default() };
         let sent = match postcard::to_stdvec(&message) {
             Ok(bytes) => socket.send_to(&bytes, to).await.is_ok(),
             Err(_) => false,
