refactor(gateway): loans of capacity in a module without the gateway, and tests of their messages

The table of loans took the gateway, and so joined the modules that take from each other in a circle. It now takes the facts that it needs: number of gateways, slots, requests that run. No decision is changed. Tests: messages on sessions have the bytes of before, a loan does not grow on the way, capacity is asked for only when it is needed.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -323,7 +323,8 @@
         let duration = self.expected_duration(service).0.max(1) as f64;
         // While the fleet is unknown, this counts the known gateways: a refusal for want of an estimate helps nobody.
         let fleet = self.with_feeds(|feeds| feeds.fleet_size()).max(1) as f64;
-        let share = self.capacity_part(service, now).share().max(1.0 / fleet);
+        let assumed = self.send_turns.borrow().fleet(now);
+        let share = self.loan_table.part(service, assumed, now).share().max(1.0 / fleet);
         started.max(f64::from(slots) * 1_000.0 / duration * share)
     }
 
@@ -351,7 +352,7 @@
 
     fn service_headroom(&self, service: &ServiceName, now: Millis) -> Option<Headroom> {
         let run = self.admissions.run_times.borrow().run(service);
-        let part = self.capacity_part(service, now);
+        let part = self.loan_table.part(service, self.send_turns.borrow().fleet(now), now);
         let memory = self.catalog().and_then(|c| c.service(service)?.memory_tokens);
         let (mut slots, mut running) = (0_u32, 0_u32);
         let rooms: Vec<Headroom> = self.with_registry(|registry| {
@@ -367,7 +368,10 @@
         if rooms.is_empty() {
             return None;
         }
-        self.record_capacity_use(service, running, slots, now);
+        self.loan_table.record_use(service, running, slots, now);
+        if self.known_fleet(now).is_some_and(|fleet| self.loan_table.request(service, fleet, now)) {
+            self.gossip_due.notify(usize::MAX);
+        }
         let headroom = HeadroomPolicy::default().service(rooms);
         let max = part.of_lent_service(slots).map_or(u32::MAX, |max| max.saturating_sub(running));
         Some(headroom.limited_to(max))
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -10,6 +10,7 @@
 use redwingfold_core::{ByteBudget, FeedUpdate, Members, Millis};
 use smol::net::UdpSocket;
 
+use crate::capacity_loans::CapacityRequest;
 use crate::clock::{sleep, within};
 use crate::feeds::{Audience, Feed, ServerChange};
 use crate::gateway::Gateway;
@@ -359,8 +360,11 @@
     match message.direct.map(DirectMessage::from) {
         None => {}
         Some(DirectMessage::Session(session)) => gw.handle_session_message(from, session),
-        Some(DirectMessage::CapacityRequest(request)) => gw.lend_capacity(from, request),
-        Some(DirectMessage::CapacityLoan(loan)) => gw.accept_capacity(from, loan),
+        Some(DirectMessage::CapacityRequest(request)) => lend_capacity(gw, from, request, now),
+        Some(DirectMessage::CapacityLoan(loan)) => {
+            gw.loan_table.accept(from, loan, now);
+            gw.telemetry.count("capacity.borrowed", 1);
+        }
     }
     if !message.shares.is_empty() {
         gw.apply_peer_shares(from, message.shares_number, &message.shares);
@@ -373,6 +377,17 @@
     }
 }
 
+/// Lends a peer capacity. A gateway that does not limit its own requests has nothing to lend, nor has one whose requests
+/// wait.
+fn lend_capacity(gw: &Gateway, peer: SocketAddr, request: CapacityRequest, now: Millis) {
+    let can_lend = gw.has_admission_control() && gw.waiting_requests() == 0;
+    let Some(fleet) = gw.known_fleet(now).filter(|_| can_lend) else { return };
+    if gw.loan_table.lend(peer, request, fleet, now) {
+        gw.telemetry.count("capacity.lent", 1);
+        gw.gossip_due.notify(usize::MAX);
+    }
+}
+
 fn apply_rollout_report(gw: &Gateway, from: SocketAddr, report: RolloutReport, now: Millis) {
     let (service, target) = (report.service.clone(), report.target.clone());
     if gw.with_rollouts(|r| r.merge_report(&from.to_string(), report, now)) {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,8 @@
 mod attempt;
 mod availability;
 mod capacity_loans;
+#[cfg(test)]
+mod capacity_loans_tests;
 mod clock;
 mod cold;
 mod connection_pool;
--- a/gateway/src/turns.rs
+++ b/gateway/src/turns.rs
@@ -98,6 +98,12 @@
         self.send_turns.borrow_mut().record_fleet(fleet, self.now());
     }
 
+    /// Returns the number of gateways, if messages from all others could have arrived.
+    pub(crate) fn known_fleet(&self, now: Millis) -> Option<usize> {
+        let turns = self.send_turns.borrow();
+        turns.is_fleet_known(now).then(|| turns.fleet(now))
+    }
+
     /// Records that this gateway receives messages from its peers from now on, or has none.
     pub(crate) fn record_peers_joined(&self) {
         self.send_turns.borrow_mut().start_settling(self.now());
