refactor(gateway): ask for capacity beside the estimate of a service, not in it

The estimate of a service's capacity, which log lines ask for as well, recorded its use and asked peers for more. Now only decisions on requests do.

--- a/gateway/src/accept.rs
+++ b/gateway/src/accept.rs
@@ -61,7 +61,7 @@
 #[derive(Debug)]
 pub(crate) struct NewConnections {
     queue: RefCell<AcceptQueue<NewConnection>>,
-    /// Notified when a connection was added to the empty queue.
+    /// Notified when a connection was added to the queue.
     added: Event,
     turn: LoopTurn,
     telemetry: Telemetry,
@@ -152,11 +152,7 @@
     /// Logs when connections begin to be closed unread, and when this ends.
     pub(crate) async fn log_overload(&self) {
         loop {
-            let began = self.overload_began.listen();
-            let is_behind = self.queue.borrow().is_behind(Clock.now());
-            if !is_behind {
-                began.await;
-            }
+            self.overload_began.listen().await;
             self.log_one_overload().await;
         }
     }
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// Capacity of a service's servers.
+struct ServiceRoom {
+    headroom: Headroom,
+    /// Slots of all servers.
+    slots: u32,
+    /// Requests of this gateway that run there.
+    running: u32,
+}
+
 /// Requests of one service that wait at this gateway.
 #[derive(Debug, Default)]
 struct ServiceQueue {
@@ -289,7 +298,7 @@
 
     /// Returns the age of the oldest load report that the capacity of a service rests on, for log lines.
     fn report_age(&self, service: &ServiceName, now: Millis) -> String {
-        let age = self.service_headroom(service, now).and_then(|headroom| headroom.age);
+        let age = self.service_room(service, now).and_then(|room| room.headroom.age);
         age.map_or_else(String::new, |age| age.to_string())
     }
 
@@ -342,7 +351,8 @@
 
     /// Returns the capacity of a service's servers that this gateway may use; `None` if it knows no server.
     fn service_capacity(&self, service: &ServiceName, now: Millis) -> Option<Capacity> {
-        let headroom = self.service_headroom(service, now)?;
+        let ServiceRoom { headroom, slots, running } = self.service_room(service, now)?;
+        self.request_capacity(service, running, slots, now);
         Some(Capacity {
             free_slots: headroom.free_slots,
             next_slot: headroom.next_slot,
@@ -350,7 +360,15 @@
         })
     }
 
-    fn service_headroom(&self, service: &ServiceName, now: Millis) -> Option<Headroom> {
+    /// Records the use of a service, and asks the peers for capacity if this gateway needs it.
+    fn request_capacity(&self, service: &ServiceName, running: u32, slots: u32, now: Millis) {
+        self.loan_table.record_use(service, running, slots, now);
+        if self.known_fleet(now).is_some_and(|fleet| self.loan_table.request(service, fleet, now)) {
+            self.gossip_due.notify(usize::MAX);
+        }
+    }
+
+    fn service_room(&self, service: &ServiceName, now: Millis) -> Option<ServiceRoom> {
         let run = self.admissions.run_times.borrow().run(service);
         let part = self.loan_table.part(service, self.send_turns.borrow().fleet(now), now);
         let memory = self.catalog().and_then(|c| c.service(service)?.memory_tokens);
@@ -368,13 +386,9 @@
         if rooms.is_empty() {
             return None;
         }
-        self.loan_table.record_use(service, running, slots, now);
-        if self.known_fleet(now).is_some_and(|fleet| self.loan_table.request(service, fleet, now)) {
-            self.gossip_due.notify(usize::MAX);
-        }
-        let headroom = HeadroomPolicy::default().service(rooms);
         let max = part.of_lent_service(slots).map_or(u32::MAX, |max| max.saturating_sub(running));
-        Some(headroom.limited_to(max))
+        let headroom = HeadroomPolicy::default().service(rooms).limited_to(max);
+        Some(ServiceRoom { headroom, slots, running })
     }
 
     fn server_facts(
