--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -169,6 +169,8 @@
     pub connection_reuse: bool,
     /// Parts of the platform's rules that are in force, as in the settings files.
     pub contracts: Vec<&'static str>,
+    /// Whether the gateways that are started are told that the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// Region of each failure domain, as in the settings files.
     pub regions: Value,
     /// Loopback address of its gateways, which no other fleet uses.
@@ -201,6 +203,7 @@
             bounds: json!({}),
             connection_reuse: false,
             contracts: Vec::new(),
+            is_first_start: false,
             regions: json!({"hall-1": "region-1"}),
             ip: fleet_address(n),
             ports: Vec::new(),
@@ -382,6 +385,7 @@
             "platform": {"address": store.to_string()},
             "connection_reuse": self.connection_reuse,
             "contracts": self.contracts,
+            "bootstrap": self.is_first_start,
         })
         .to_string()
     }
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -49,6 +49,10 @@
     /// Topics for which each request gets a 503.
     busy: HashSet<String>,
     calls: Vec<String>,
+    /// Time that each append of a gateway takes; appends to a topic are handled one at a time.
+    append_time: Duration,
+    /// When the queued appends to each topic will be done.
+    appends_done_at: HashMap<String, Instant>,
     /// Number of restores from a snapshot.
     era: u32,
 }
@@ -106,6 +110,11 @@
         };
     }
 
+    /// Sets the time that each append of a gateway takes.
+    pub fn set_append_time(&self, time: Duration) {
+        self.lock().append_time = time;
+    }
+
     /// Appends a record as the operator or an engine would; without a value it deletes the key.
     pub fn put(&self, topic: &str, key: &str, value: Option<&str>) {
         self.lock().append(topic, vec![encode_record(key, value.unwrap_or_default())]);
@@ -218,6 +227,8 @@
         let number = |name: &str| query.get(name).and_then(|n| n.parse::<u64>().ok());
         match path {
             "/log-append" => {
+                let done_at = self.lock().enqueue_append(topic);
+                std::thread::sleep(done_at.saturating_duration_since(Instant::now()));
                 let reply = self.lock().checked_append(topic, number("at"), body);
                 self.state.1.notify_all();
                 reply
@@ -273,6 +284,13 @@
         (200, json!({"offset": offset, "end": topic.end()}).to_string().into_bytes())
     }
 
+    /// Returns when an append that arrives now is done.
+    fn enqueue_append(&mut self, topic: &str) -> Instant {
+        let queued = self.appends_done_at.entry(topic.to_owned()).or_insert_with(Instant::now);
+        *queued = (*queued).max(Instant::now()) + self.append_time;
+        *queued
+    }
+
     fn checked_append(&mut self, topic: &str, at: Option<u64>, body: &[u8]) -> Reply {
         let end = self.topics.get(topic).map_or(0, Topic::end);
         if at.is_some_and(|at| at != end) {
