fix(core): gateways that miss changes ask any peer well ahead, and wait for it by the fleet's size

What callers saw: nothing; while 640 servers registered, 352 of 356 gateways read the store's feed themselves, 821 calls in four seconds, and 100 to 130 more whenever over a dozen servers changed at once.

Cause: a message carries twelve changes. With more, each receiver has a gap at the same moment. All asked the one gateway with the highest position, which answers eight at a time, and read the store after 0.3 s, however large the fleet: right for some 64 gateways.

Ruled out: lost messages; with none lost the reads are as many.

Change: of gateways that are ahead, any that has closed half of the lead may be asked; the wait before a read of the store is 0.3 s for each factor of eight in the fleet's size, and ends when the gateway would read without any message. Orders still go to the newest.

--- a/core/src/serving/feed.rs
+++ b/core/src/serving/feed.rs
@@ -22,7 +22,7 @@
     Applies,
     /// It ends at this gateway's offset.
     Confirms,
-    /// It begins after this gateway's offset: this gateway must read the store itself.
+    /// It begins after this gateway's offset: this gateway must fetch what it missed, or read the store.
     Gap,
     /// It ends before this gateway's offset, or this gateway has no offset yet.
     Stale,
@@ -49,8 +49,17 @@
     highest_next: Option<u64>,
     known_as_of: Millis,
     refresh_interval: Millis,
+    /// When a message first showed that this gateway missed changes.
+    gap_since: Option<Millis>,
 }
 
+/// Time in which a gateway that is ahead answers and announces what it sent. Each one that has fetched from it serves
+/// others next.
+const FETCH_ROUND: Millis = Millis(300);
+
+/// Factor by which the gateways that are not behind grow in a round.
+const ROUND_GROWTH: usize = 8;
+
 impl FeedView {
     /// Creates a view without an offset. `period` is the least time without messages after which
     /// this gateway reads; it reads after twice the period at most.
@@ -73,6 +82,7 @@
             highest_next: None,
             known_as_of: Millis(0),
             refresh_interval: Millis(0),
+            gap_since: None,
         }
     }
 
@@ -109,15 +119,44 @@
         (self.known_as_of > Millis(0)).then_some(self.known_as_of)
     }
 
-    /// Returns whether this gateway should read the store.
+    /// Returns whether this gateway should read the store, or fetch from a gateway that is ahead.
     pub fn is_due(&self, now: Millis) -> bool {
-        self.next.is_none() || now.since(self.known_as_of) >= self.refresh_interval
+        self.next.is_none()
+            || self.gap_since.is_some()
+            || now.since(self.known_as_of) >= self.refresh_interval
+    }
+
+    /// Returns the earliest time at which a gateway that missed changes reads the store, rather than wait for those that
+    /// are ahead.
+    ///
+    /// Load pattern: hundreds of servers register within seconds, and each read brings more changes than a message
+    /// carries, so that all gateways miss some at the same moment. One gateway is ahead then and serves few at a time.
+    /// With a fixed wait, as many read the store as it could not serve in that time. The number of gateways that serve
+    /// grows with each round, so that the wait grows with the logarithm of the fleet. It ends when this gateway would
+    /// read without any message.
+    ///
+    /// ```
+    /// use redwingfold_core::{FeedUpdate, FeedView, Millis};
+    /// let mut view = FeedView::new(Millis(2_000));
+    /// view.record_read(Millis(0), 7, 0);
+    /// view.apply_update(FeedUpdate { from: 90, next: 90, age: Millis(0) }, Millis(100), 0);
+    /// assert_eq!(view.store_read_at(), Some(Millis(400)));
+    /// view.set_fleet_size(356);
+    /// assert_eq!(view.store_read_at(), Some(Millis(1_000)));
+    /// ```
+    pub fn store_read_at(&self) -> Option<Millis> {
+        let since = self.gap_since?;
+        let rounds = u64::from(self.fleet.max(2).ilog(ROUND_GROWTH)) + 1;
+        let unaided = self.known_as_of.after(self.refresh_interval);
+        let patient = since.after(Millis(FETCH_ROUND.0 * rounds));
+        Some(patient.min(unaided).max(since.after(FETCH_ROUND)))
     }
 
     /// Records a read of this gateway that began at `began`; `draw` is a random number.
     pub fn record_read(&mut self, began: Millis, next: u64, draw: u64) {
         self.next = Some(next);
         self.highest_next = self.highest_next.max(self.next);
+        self.gap_since = None;
         self.refresh(began, draw);
     }
 
@@ -144,11 +183,12 @@
             Some(own) if own >= update.from => {
                 self.next = Some(update.next);
                 self.highest_next = self.highest_next.max(self.next);
+                self.gap_since = None;
                 self.refresh(as_of, draw);
                 FeedUpdateOutcome::Applies
             }
             Some(_) => {
-                self.refresh_interval = Millis(0);
+                self.gap_since.get_or_insert(now);
                 FeedUpdateOutcome::Gap
             }
         }
--- a/core/src/serving/feed_positions.rs
+++ b/core/src/serving/feed_positions.rs
@@ -61,21 +61,56 @@
         }
     }
 
+    /// Records that a gateway serves callers and so has the feed up to some offset, unless one is known.
+    pub fn record_any(&mut self, gateway: P, now: Millis) {
+        let position = Position { next: 0, recorded_at: now, retry_at: now };
+        self.positions.entry(gateway).or_insert(position);
+    }
+
     /// Picks one of the gateways with the highest offset above `own`; `draw` is a random number.
     pub fn pick_ahead(&self, own: Option<u64>, draw: u64, now: Millis) -> Option<P> {
+        let ahead = self.ahead(own, now);
+        let furthest = ahead.iter().map(|(_, next)| *next).max()?;
+        pick(ahead.into_iter().filter(|(_, next)| *next == furthest).collect(), draw)
+    }
+
+    /// Picks one of the gateways that are ahead of `own` by at least half as much as the furthest; `draw` is a random
+    /// number.
+    ///
+    /// Load pattern: a feed grows with each read, so that only the last reader has the highest offset. If all other
+    /// gateways asked that one, it would reject most of them.
+    ///
+    /// ```
+    /// use redwingfold_core::{FeedPositions, Millis};
+    /// let mut positions = FeedPositions::new();
+    /// (0..8).for_each(|n| positions.record(n, 100 + n, Millis(0)));
+    /// let picked = |draw| positions.pick_well_ahead(Some(50), draw, Millis(10));
+    /// assert!((0..8).all(|gateway| (0..8).any(|draw| picked(draw) == Some(gateway))));
+    /// ```
+    pub fn pick_well_ahead(&self, own: Option<u64>, draw: u64, now: Millis) -> Option<P> {
+        let ahead = self.ahead(own, now);
+        let furthest = ahead.iter().map(|(_, next)| *next).max()?;
+        let enough = furthest - (furthest - own.unwrap_or(0)) / 2;
+        pick(ahead.into_iter().filter(|(_, next)| *next >= enough).collect(), draw)
+    }
+
+    /// Returns the gateways ahead of `own` that may be asked now, with their offsets, in an arbitrary order.
+    fn ahead(&self, own: Option<u64>, now: Millis) -> Vec<(P, u64)> {
         let is_candidate = |position: &Position| {
             own.is_none_or(|own| position.next > own)
                 && now >= position.retry_at
                 && now.since(position.recorded_at) < RETENTION
         };
-        let ahead: Vec<_> =
-            self.positions.iter().filter(|(_, position)| is_candidate(position)).collect();
-        let furthest = ahead.iter().map(|(_, position)| position.next).max()?;
-        let best: Vec<_> = ahead.iter().filter(|(_, position)| position.next == furthest).collect();
-        best.get((draw % best.len() as u64) as usize).map(|(gateway, _)| **gateway)
+        let ahead = self.positions.iter().filter(|(_, position)| is_candidate(position));
+        ahead.map(|(gateway, position)| (*gateway, position.next)).collect()
     }
 }
 
+fn pick<P: Copy>(candidates: Vec<(P, u64)>, draw: u64) -> Option<P> {
+    let n = draw.checked_rem(candidates.len() as u64)?;
+    candidates.get(n as usize).map(|(gateway, _)| *gateway)
+}
+
 impl<P: Copy + Eq + Hash> Default for FeedPositions<P> {
     fn default() -> Self {
         Self::new()
--- a/gateway/src/exchange/progress.rs
+++ b/gateway/src/exchange/progress.rs
@@ -5,9 +5,14 @@
 use redwingfold_core::{FeedPositions, FeedUpdate, Millis};
 
 use super::snapshot::{OrderSnapshots, Record};
+use crate::clock::sleep;
 use crate::feeds::{Audience, Feed};
 use crate::gateway::Gateway;
 
+/// Time that a gateway that is ahead has to answer before the store is read as well. It answers within 0.1 s even on a
+/// host with a tenth of a core.
+const PEER_HEAD_START: Millis = Millis(300);
+
 impl Gateway {
     pub(crate) fn with_orders<T>(&self, f: impl FnOnce(&mut OrderSnapshots) -> T) -> T {
         f(&mut self.orders.borrow_mut())
@@ -50,11 +55,25 @@
     /// Picks a gateway that is ahead of this one in a feed.
     pub(super) fn pick_peer_ahead(&self, feed: Feed) -> Option<SocketAddr> {
         let own = self.with_feeds(|feeds| feeds.reached(feed));
-        self.with_positions(feed, |positions| {
-            positions.pick_ahead(own, fastrand::u64(..), self.now())
+        let (draw, now) = (fastrand::u64(..), self.now());
+        self.with_positions(feed, |positions| match feed {
+            // Each order must be in force as soon as possible. They are rare, so that many have the newest.
+            Feed::Orders => positions.pick_ahead(own, draw, now),
+            Feed::Servers | Feed::Marks => positions.pick_well_ahead(own, draw, now),
         })
     }
 
+    /// Waits while a gateway that is ahead in a feed can be expected to send what this one lacks. If all that lack it read
+    /// the store instead, the calls would grow with the fleet.
+    pub async fn wait_for_store_turn(&self, feed: Feed) {
+        if !self.is_behind(feed) {
+            return;
+        }
+        let now = self.now();
+        let read_at = self.with_feeds(|feeds| feeds.store_read_at(feed));
+        sleep(read_at.unwrap_or(now.after(PEER_HEAD_START)).since(now)).await;
+    }
+
     pub(super) fn record_peer_failure(&self, feed: Feed, peer: SocketAddr) {
         self.with_positions(feed, |positions| positions.record_failure(peer, self.now()));
     }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -133,6 +133,12 @@
         self.view(feed).is_due(now)
     }
 
+    /// Returns the earliest time at which this gateway, which has missed changes of a feed, reads the store rather than
+    /// wait for a gateway that is ahead; `None` if it has missed none.
+    pub(crate) fn store_read_at(&mut self, feed: Feed) -> Option<Millis> {
+        self.view(feed).store_read_at()
+    }
+
     /// Clears the position in a feed, so that it is read whole.
     pub fn reset(&mut self, feed: Feed) {
         self.view(feed).clear_offset();
