fix(gateway): admitted requests take their slots before they are sent

What callers saw: nothing yet; in tests of a gateway with admission control that has just started, all twelve callers of an engine with eight slots were sent to it at once, and none waited.

Cause: a request counts at its server from when it is sent, after it has connected. Callers that waited for the gateway to start (for its configuration, its servers or its marks) are released together, and each finds the slots free that the others are about to use. The same holds for any requests that are admitted within the time of a connect.

Ruled out: the size of the fleet, which was known.

Change: a request holds a count of its service from its admission until it is sent or dropped, and free slots are counted less these.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -91,6 +91,8 @@
     granted: HashSet<u64>,
     refused: HashSet<u64>,
     starts: StartRate,
+    /// Requests that were admitted and are not sent yet.
+    starting: u32,
     /// Whether a task grants capacity to the waiting requests.
     has_dispatcher: bool,
 }
@@ -123,6 +125,28 @@
     }
 }
 
+/// Counts an admitted request as a user of capacity until it is sent, when the load of its server counts it.
+///
+/// Failure: callers that had waited for a gateway to start were admitted together. Each found the slots free that the
+/// others were about to take, as they were still connecting, and all were sent.
+pub(crate) struct StartingRequest {
+    gw: Rc<Gateway>,
+    service: ServiceName,
+}
+
+impl StartingRequest {
+    pub(crate) fn new(gw: &Rc<Gateway>, service: &ServiceName) -> Self {
+        gw.admissions.with(service, |queue| queue.starting += 1);
+        Self { gw: gw.clone(), service: service.clone() }
+    }
+}
+
+impl Drop for StartingRequest {
+    fn drop(&mut self) {
+        self.gw.admissions.with(&self.service, |queue| queue.starting -= 1);
+    }
+}
+
 impl AdmissionQueues {
     fn with<T>(&self, service: &ServiceName, f: impl FnOnce(&mut ServiceQueue) -> T) -> T {
         let mut queues = self.queues.borrow_mut();
@@ -353,8 +377,9 @@
     fn service_capacity(&self, service: &ServiceName, now: Millis) -> Option<Capacity> {
         let ServiceRoom { headroom, slots, running } = self.service_room(service, now)?;
         self.request_capacity(service, running, slots, now);
+        let starting = self.admissions.with(service, |queue| queue.starting);
         Some(Capacity {
-            free_slots: headroom.free_slots,
+            free_slots: (headroom.free_slots - f64::from(starting)).max(0.0),
             next_slot: headroom.next_slot,
             prefill_wait: headroom.prefill_wait,
         })
--- a/gateway/src/admission_tests.rs
+++ b/gateway/src/admission_tests.rs
@@ -9,7 +9,7 @@
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
 
-use crate::admission::{AdmissionFacts, EndedRequest, Refusal};
+use crate::admission::{AdmissionFacts, EndedRequest, Refusal, StartingRequest};
 use crate::clock::within;
 use crate::gateway::Gateway;
 use crate::metadata::{
@@ -180,3 +180,22 @@
         }
     }));
 }
+
+/// Guards against requests that are admitted together, as all waited for the gateway to start, and of which each takes the
+/// slots for free that the others are about to use.
+#[test]
+fn requests_that_are_not_sent_yet_take_their_slots() {
+    run_with_gateway(async |gw| {
+        report(&gw, 0, 0);
+        let shortly = Millis(300);
+        let mut starting = Vec::new();
+        while let Some(Ok(())) = within(shortly, gw.admit(&facts(&gw, 1, 2, LONG))).await {
+            starting.push(StartingRequest::new(&gw, &"plain".into()));
+            assert!(starting.len() <= SLOTS as usize, "more than the server has slots");
+        }
+        assert!(!starting.is_empty());
+        starting.clear();
+        let admitted = within(LONG, gw.admit(&facts(&gw, 2, 2, LONG))).await;
+        assert!(matches!(admitted, Some(Ok(()))));
+    });
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -158,6 +158,7 @@
             runs,
             gw.interrupted_runs.clone(),
         );
+        self.starting = None;
         self.run_state = redwingfold_core::RunState::MayHaveRun;
         self.sends += 1;
         let answered = self.wait_for_head(connection.try_send(req), server, expected).await;
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -11,7 +11,7 @@
 };
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::AdmissionFacts;
+use crate::admission::{AdmissionFacts, StartingRequest};
 use crate::attempt::{AttemptOutcome, BodyRead, ConnectionSource, UpstreamResponse};
 use crate::clock::within;
 use crate::fingerprint::suspect_keys;
@@ -81,6 +81,8 @@
     pub(crate) longest_pause: Millis,
     /// When it was admitted, if admission is controlled.
     pub(crate) admitted_at: Option<Millis>,
+    /// Set from its admission until it is sent.
+    pub(crate) starting: Option<StartingRequest>,
 }
 
 /// The parts of the caller's request from which each attempt is built.
@@ -148,6 +150,7 @@
             event_count: 0,
             longest_pause: Millis(0),
             admitted_at: None,
+            starting: None,
         }
     }
 
@@ -297,6 +300,7 @@
             return Err(RequestError { retry_after, ..self.overloaded_error(refusal.why) });
         }
         self.admitted_at = Some(self.gw.now());
+        self.starting = Some(StartingRequest::new(&self.gw, &self.service));
         Ok(())
     }
 
