fix(gateway): changes of servers and marks that all have are not repeated for ever

Cause: a message repeats the changes of the last three reads, so that a lost one leaves no gap. A gateway counted its own reads and the messages with changes, but not those that only confirm its position; it reads once a minute in a fleet of hundreds. So the last dozen changes stood in each message, a kilobyte, of which the bytes for 24 peers are kept, and the others read the store.

Change: a message that confirms a position counts as a read without changes.

--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -199,6 +199,10 @@
                 self.server_history.add(from, update.next, changes.clone());
                 changes
             }
+            (FeedUpdateOutcome::Confirms, Some(from)) => {
+                self.server_history.add(from, from, Vec::new());
+                Vec::new()
+            }
             _ => Vec::new(),
         }
     }
@@ -240,6 +244,10 @@
                 self.mark_history.add(from, update.next, changes.clone());
                 changes
             }
+            (FeedUpdateOutcome::Confirms, Some(from)) => {
+                self.mark_history.add(from, from, Vec::new());
+                Vec::new()
+            }
             _ => Vec::new(),
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -25,6 +25,8 @@
 mod evacuation;
 mod exchange;
 mod feeds;
+#[cfg(test)]
+mod feeds_tests;
 mod fingerprint;
 mod gateway;
 mod gossip;
