fix(gateway): of gateways that start together few read the store, and the others wait for their copies

What callers saw: nothing; the operator paid for 2,000 calls of the store in the first two seconds of 356 gateways: each read orders, servers and marks, and 186 the addresses, as none knew another one. A gateway that restarts alone made six calls.

Cause: each gateway reads at its start, before it can have heard a peer. Four gateways may do so. The addresses were read after a wait drawn evenly from 0.3 s, in which a message does not reach hundreds of slow hosts; and reads of their topic queue behind 356 registrations, for 1.4 s, were given up after 0.7 s and made again.

Ruled out: registrations by themselves (one each is needed, as long as a gateway knows nobody); log calls that grew with the servers.

On the first start the offset of its registration says how many came before: the 1st, 2nd, 4th, 8th, 16th and each 32nd read at once. Gateways that return draw from 0.3 s, late ones likelier. The others wait until they know a peer, then up to a second for its copies, and then read. A reader greets all that it found, with its positions. Marks, versions in service and addresses are fetched from peers like orders and servers; the versions only for 3 s after their read, and not while a rollout runs. A gateway is ready by the same rules as before.

Two ways were weighed: drawn turns on the first start as well need a wait of seconds, or a third of the fleet reads (virtual time, uniform draws: 118 of 356 within 0.1 s of the first). The offset costs no wait.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -68,8 +68,8 @@
     ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route, RouteEvidence, RouteName,
     Run, RunTimes, SendCounts, SendTurns, ServerFacts, ServerHealth, ServerLimits, ServerReport,
     ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
-    StartRate, StreamRules, StreamTimes, SuspectTrial, UnreachableServers, UrgencyPolicy,
-    WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter, is_in_first_half,
-    lead_servers, place, service_hash,
+    StartRate, StartTurn, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
+    UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter,
+    is_in_first_half, lead_servers, place, service_hash,
 };
 pub use subset::{Member, PooledSide, is_log_reader, pin_holders, rank, sides_of_entry};
--- a/core/src/serving/members.rs
+++ b/core/src/serving/members.rs
@@ -33,6 +33,8 @@
     is_changed: bool,
     /// New gateways that this one should send the member list to.
     newcomers: Vec<A>,
+    /// Whether this gateway should send all others a message.
+    greets_all: bool,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -56,7 +58,13 @@
     /// assert_eq!((members.len(), members.take_newcomers()), (2, vec!['c']));
     /// ```
     pub fn new(own: A) -> Self {
-        Self { own, known: HashMap::new(), is_changed: false, newcomers: Vec::new() }
+        Self {
+            own,
+            known: HashMap::new(),
+            is_changed: false,
+            newcomers: Vec::new(),
+            greets_all: false,
+        }
     }
 
     /// Returns the address of this gateway.
@@ -79,6 +87,14 @@
         has_added
     }
 
+    /// Adds gateways that a peer listed. Unlike those added with [`Self::add`], they are not forwarded: the peer has sent
+    /// them to others already.
+    pub fn learn(&mut self, listed: &[A], now: Millis) {
+        let is_changed = self.is_changed;
+        self.add(listed, now);
+        self.is_changed = is_changed;
+    }
+
     /// Records a message from a gateway; `draw` is a random number.
     pub fn record_message(&mut self, from: A, now: Millis, draw: u64) {
         let known_since = self.known.get(&from).map_or(now, |member| member.known_since);
@@ -95,6 +111,16 @@
         std::mem::take(&mut self.is_changed)
     }
 
+    /// Makes this gateway send all others a message: it has read their addresses, and none of them may know another one.
+    pub fn greet_all(&mut self) {
+        self.greets_all = true;
+    }
+
+    /// Returns and clears whether all others should get a message.
+    pub fn take_greeting(&mut self) -> bool {
+        std::mem::take(&mut self.greets_all)
+    }
+
     /// Returns and clears the new gateways that this one should send the member list to.
     pub fn take_newcomers(&mut self) -> Vec<A> {
         std::mem::take(&mut self.newcomers)
--- a/core/src/serving/quarantine/mod.rs
+++ b/core/src/serving/quarantine/mod.rs
@@ -339,6 +339,18 @@
         self.apply_changes(marks, now)
     }
 
+    /// Returns the marks on record that are in the store, for another gateway. Each has the age of its request's newest,
+    /// by which the receiver removes the entry at the same time.
+    pub fn stored_marks(&self, now: Millis) -> Vec<MarkChange> {
+        let marks_of = |(request, suspect): (&Fingerprint, &Suspect)| {
+            let age = self.policy.retention_of(*request).since(suspect.expires_at.since(now));
+            let change = |mark| MarkChange { request: *request, mark, age: Some(age) };
+            suspect.marks().into_iter().map(change).collect::<Vec<_>>()
+        };
+        let is_stored = |change: &MarkChange| !self.pending.contains(change.request, &change.mark);
+        self.suspects.iter().flat_map(marks_of).filter(is_stored).collect()
+    }
+
     /// Returns the marks on record that are not among `marks` and have no pending change.
     fn missing_from(&self, marks: &[MarkChange]) -> Vec<(Fingerprint, Mark)> {
         let listed: HashSet<_> = marks.iter().map(|m| (m.request, &m.mark)).collect();
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -6,15 +6,18 @@
 use redwingfold_core::Millis;
 
 use crate::clock::sleep;
+use crate::exchange::fetch_addresses;
 use crate::gateway::Gateway;
 use crate::peer_table::PeerTable;
 
-/// Largest random delay of a starting gateway before it reads the addresses. Of gateways that start together, the first
-/// that has read them sends them to the others within about ten milliseconds.
-const START_SPREAD: Millis = Millis(300);
+/// Interval at which a gateway that starts checks for peers, and for its turn to read the addresses.
+const START_POLL_INTERVAL: Millis = Millis(20);
 
-/// Time in which all hosts of a new deployment start and write their addresses.
-const FIRST_START_WAIT: Millis = Millis(300);
+/// Peers that a gateway that starts asks for the addresses of all.
+const MAX_ADDRESS_SOURCES: u32 = 4;
+
+/// Longest random delay of such a request, as one gateway greets all others at once.
+const MAX_REQUEST_DELAY: Millis = Millis(150);
 
 /// Time between two reads by a gateway without peers; a random part of up to the same length is added.
 const ALONE_RETRY_INTERVAL: Millis = Millis(3_000);
@@ -30,17 +33,19 @@
 pub struct AddressStore<R, W> {
     /// Reads the addresses of all gateways.
     pub read: R,
-    /// Writes this gateway's own address.
+    /// Writes this gateway's own address; returns the number of addresses written before it, if known.
     pub write: W,
 }
 
 /// Discovers the other gateways, and repeats it whenever it has no live peers.
 ///
-/// Load pattern: all gateways of a fleet lose power and restart. If each wrote its address and read all of them, as on
-/// the first start, 103 gateways would make 206 calls to the store for addresses that it has already, while callers
-/// return. So each gateway waits a random time for a message of another one, and only those that receive none read the
-/// addresses; these spread by gossip. A gateway that others have in their tables has its address in the store already.
-/// One that was cut off for so long that it has no live peers left reads again.
+/// Load pattern: all gateways of a fleet lose power and restart. If each wrote its address and read all of them, 103
+/// gateways would make 206 calls to the store for addresses that it has already, while callers return. So each gateway
+/// waits for a message of another one until its [`redwingfold_core::StartTurn`], and only those that receive none read
+/// the addresses; these spread by gossip. A gateway that others have in their tables has its address in the store
+/// already. One that was cut off for so long that it has no live peers left reads again.
+///
+/// On the first start, each gateway writes its address. It need not read the others: the next that reads finds it.
 ///
 /// `is_first_start` is set on the first start of the deployment, when the store has no addresses yet.
 pub async fn discover_peers<R, W>(
@@ -50,13 +55,17 @@
     mut address_store: AddressStore<R, W>,
 ) where
     R: AsyncFnMut() -> Vec<SocketAddr>,
-    W: AsyncFnMut(),
+    W: AsyncFnMut() -> Option<u64>,
 {
-    if is_first_start {
-        (address_store.write)().await;
-        sleep(FIRST_START_WAIT).await;
+    if is_first_start && let Some(earlier) = (address_store.write)().await {
+        gw.record_registration(earlier);
+    }
+    while peers.is_empty() && !gw.is_start_turn_due() {
+        sleep(START_POLL_INTERVAL).await;
+    }
+    if !peers.is_empty() {
+        learn_addresses(&gw, &peers).await;
     }
-    sleep(Millis(fastrand::u64(0..START_SPREAD.0))).await;
     let (mut logged_count, started_at, mut rewritten_after) = (0, gw.now(), None);
     loop {
         let restored = gw.restored_at.get().filter(|at| rewritten_after != Some(*at));
@@ -70,6 +79,7 @@
         if peers.live(gw.now()).is_empty() {
             let addresses = read_addresses(&peers, &mut address_store).await;
             if peers.add(&addresses, gw.now()) {
+                peers.with(|members| members.greet_all());
                 gw.gossip_due.notify(usize::MAX);
             }
         }
@@ -83,6 +93,21 @@
     }
 }
 
+/// Adds the addresses that a peer knows. Those that a peer's messages bring come in parts, and in an order of seconds where
+/// hundreds of gateways start.
+async fn learn_addresses(gw: &Gateway, peers: &PeerTable) {
+    for _ in 0..MAX_ADDRESS_SOURCES {
+        sleep(Millis(fastrand::u64(..MAX_REQUEST_DELAY.0))).await;
+        let live = peers.live(gw.now());
+        let Some(peer) = fastrand::choice(&live) else { return };
+        if let Some(addresses) = fetch_addresses(gw, *peer).await
+            && addresses.len() >= live.len()
+        {
+            return peers.with(|members| members.learn(&addresses, gw.now()));
+        }
+    }
+}
+
 /// Reads the addresses of all gateways, and writes this gateway's own if it is missing.
 async fn read_addresses<R, W>(
     peers: &PeerTable,
@@ -90,7 +115,7 @@
 ) -> Vec<SocketAddr>
 where
     R: AsyncFnMut() -> Vec<SocketAddr>,
-    W: AsyncFnMut(),
+    W: AsyncFnMut() -> Option<u64>,
 {
     let addresses = (address_store.read)().await;
     if addresses.contains(&peers.own()) {
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -8,9 +8,10 @@
 use http_body_util::Full;
 use redwingfold_core::Millis;
 
-use super::page::FeedQuery;
-use super::servers;
+use super::marks::{self, FetchedMarks};
+use super::page::{FeedQuery, GATEWAYS_PATH};
 use super::snapshot::{OrdersReply, Record, ReplyError};
+use super::{servers, versions};
 use crate::clock::{sleep, within};
 use crate::feeds::Feed;
 use crate::gateway::Gateway;
@@ -27,6 +28,12 @@
 /// Longest random delay of a request. It is shorter than the time after which a waiting gateway reads the store.
 const MAX_REQUEST_DELAY: Millis = Millis(200);
 
+/// Largest list of addresses that is accepted from a peer, in bytes.
+const MAX_ADDRESSES_BYTES: usize = 64 * 1024;
+
+/// Gateways that are asked for the versions in service before the store is read.
+const MAX_VERSION_SOURCES: u32 = 2;
+
 /// Longest wait for another gateway that is ahead. After it, a gateway that failed may be due for a retry.
 const RECHECK_INTERVAL: Millis = Millis(100);
 
@@ -88,6 +95,46 @@
     }
 }
 
+/// Fetches all marks from a gateway that is ahead; `None` if there is none, or it did not send them.
+pub async fn fetch_newer_marks(gw: &Gateway) -> Option<FetchedMarks> {
+    let peer = gw.pick_peer_ahead(Feed::Marks)?;
+    let (began, next) = (gw.now(), gw.with_feeds(|feeds| feeds.reached(Feed::Marks)));
+    let target = FeedQuery::target_from(marks::PATH, next);
+    let fetched = match get(gw, peer, &target, gw.settings.max_orders_bytes).await {
+        Ok(None) => {
+            gw.record_peer_failure(Feed::Marks, peer);
+            return None;
+        }
+        Ok(Some(body)) => marks::decode_reply(&body, began).map_err(|e| e.to_string()),
+        Err(why) => Err(why),
+    };
+    fetched.map_err(|why| record_fetch_failure(gw, Feed::Marks, peer, &why)).ok()
+}
+
+/// Fetches the addresses of all gateways that a peer knows; `None` if it does not send them.
+pub(crate) async fn fetch_addresses(gw: &Gateway, peer: SocketAddr) -> Option<Vec<SocketAddr>> {
+    let body = get(gw, peer, GATEWAYS_PATH, MAX_ADDRESSES_BYTES).await.ok()??;
+    postcard::from_bytes(&body).ok()
+}
+
+/// Fetches the records of the versions in service from a gateway that has read them within the last seconds, and keeps
+/// them for others; `None` if none sends them.
+pub async fn fetch_versions(gw: &Gateway) -> Option<Vec<Record>> {
+    for _ in 0..MAX_VERSION_SOURCES {
+        let (began, peer) = (gw.now(), gw.pick_peer_ahead(Feed::Orders)?);
+        let body = get(gw, peer, versions::PATH, gw.settings.max_orders_bytes).await;
+        let Ok(Some(body)) = body else { continue };
+        match versions::decode_reply(&body, began) {
+            Ok((read_at, records)) => {
+                gw.keep_stored_versions(read_at, &records);
+                return Some(records);
+            }
+            Err(e) => record_fetch_failure(gw, Feed::Orders, peer, &e.to_string()),
+        }
+    }
+    None
+}
+
 fn record_fetch_failure(gw: &Gateway, feed: Feed, peer: SocketAddr, why: &str) {
     gw.record_peer_failure(feed, peer);
     gw.telemetry.count("feed.not_passed_on", 1);
@@ -100,7 +147,7 @@
     let began = gw.now();
     let next = gw.with_feeds(|feeds| feeds.reached(Feed::Servers));
     let max = gw.settings.max_orders_bytes;
-    let Some(body) = get(gw, peer, &servers::request_target(next), max).await? else {
+    let Some(body) = get(gw, peer, &FeedQuery::target_from(servers::PATH, next), max).await? else {
         return Ok(false);
     };
     let (age, list): (u64, Bytes) = postcard::from_bytes(&body).map_err(|e| e.to_string())?;
--- a/gateway/src/exchange/page.rs
+++ b/gateway/src/exchange/page.rs
@@ -6,12 +6,17 @@
 
 use super::servers::{self, ServerList};
 use super::snapshot::Digest;
+use super::{marks, versions};
 use crate::feeds::Feed;
 use crate::gateway::Gateway;
+use crate::peer_table::PeerTable;
 use crate::response::{GatewayResponse, full_body, text_response};
 
 pub(super) const PATH: &str = "/orders";
 
+/// Path of the addresses of all gateways.
+pub(super) const GATEWAYS_PATH: &str = "/gateways";
+
 /// Position of the gateway that sends the request.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(super) struct FeedQuery {
@@ -27,6 +32,11 @@
         format!("{PATH}?have={}&next={}", text(self.base), text(self.next))
     }
 
+    /// Returns the target of a request for a feed without snapshots, for a gateway that has it up to an offset.
+    pub(super) fn target_from(path: &str, next: Option<u64>) -> String {
+        format!("{path}?next={}", next.map_or_else(String::new, |next| next.to_string()))
+    }
+
     fn parse(query: &str) -> Self {
         let number = |name: &str| {
             let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
@@ -36,8 +46,11 @@
     }
 }
 
-/// Creates the handler of the pages with this gateway's copy of the store's feeds.
-pub fn feed_pages(gw: Rc<Gateway>) -> impl Fn(&Uri) -> Option<GatewayResponse> + Clone {
+/// Creates the handler of the pages with this gateway's copy of the store's feeds, and with the addresses of its peers.
+pub fn feed_pages(
+    gw: Rc<Gateway>,
+    peers: PeerTable,
+) -> impl Fn(&Uri) -> Option<GatewayResponse> + Clone {
     move |uri| {
         let query = FeedQuery::parse(uri.query().unwrap_or_default());
         let bytes = match uri.path() {
@@ -47,6 +60,9 @@
                 reply.and_then(|reply| postcard::to_stdvec(&reply).ok())
             }
             servers::PATH => encode_servers_reply(&gw, query.next),
+            marks::PATH => marks::encode_reply(&gw, query.next),
+            versions::PATH => versions::encode_reply(&gw),
+            GATEWAYS_PATH => postcard::to_stdvec(&peers.live(gw.now())).ok(),
             _ => return None,
         };
         let Some(bytes) = bytes else {
--- a/gateway/src/exchange/progress.rs
+++ b/gateway/src/exchange/progress.rs
@@ -47,6 +47,16 @@
         }
     }
 
+    /// Records that a peer serves callers, so that a gateway that starts can ask it for each feed.
+    pub(crate) fn record_serving_peer(&self, peer: SocketAddr) {
+        for feed in [Feed::Orders, Feed::Servers, Feed::Marks] {
+            if self.with_feeds(|feeds| feeds.reached(feed)).is_none() {
+                self.with_positions(feed, |positions| positions.record_any(peer, self.now()));
+                self.peer_ahead.notify(usize::MAX);
+            }
+        }
+    }
+
     /// Returns whether another gateway is ahead of this one in a feed.
     pub fn is_behind(&self, feed: Feed) -> bool {
         self.pick_peer_ahead(feed).is_some()
@@ -66,12 +76,22 @@
     /// Waits while a gateway that is ahead in a feed can be expected to send what this one lacks. If all that lack it read
     /// the store instead, the calls would grow with the fleet.
     pub async fn wait_for_store_turn(&self, feed: Feed) {
-        if !self.is_behind(feed) {
-            return;
+        if self.with_feeds(|feeds| feeds.reached(feed)).is_none() {
+            self.wait_for_start_turn().await;
+        }
+        match self.with_feeds(|feeds| feeds.store_read_at(feed)) {
+            Some(read_at) => sleep(read_at.since(self.now())).await,
+            None if self.is_behind(feed) => sleep(PEER_HEAD_START).await,
+            None => {}
+        }
+    }
+
+    /// Returns whether this gateway reads the store for what it lacks of a feed, as no other can be expected to send it.
+    pub fn is_store_turn(&self, feed: Feed) -> bool {
+        match self.with_feeds(|feeds| (feeds.reached(feed), feeds.store_read_at(feed))) {
+            (None, _) => self.is_start_turn_due(),
+            (Some(_), read_at) => read_at.is_none_or(|at| self.now() >= at),
         }
-        let now = self.now();
-        let read_at = self.with_feeds(|feeds| feeds.store_read_at(feed));
-        sleep(read_at.unwrap_or(now.after(PEER_HEAD_START)).since(now)).await;
     }
 
     pub(super) fn record_peer_failure(&self, feed: Feed, peer: SocketAddr) {
@@ -86,8 +106,7 @@
         match feed {
             Feed::Orders => f(&mut self.orders_positions.borrow_mut()),
             Feed::Servers => f(&mut self.servers_positions.borrow_mut()),
-            // Marks are few and short, so a gateway that missed some reads them from the store.
-            Feed::Marks => f(&mut FeedPositions::new()),
+            Feed::Marks => f(&mut self.marks_positions.borrow_mut()),
         }
     }
 }
--- a/gateway/src/exchange/servers.rs
+++ b/gateway/src/exchange/servers.rs
@@ -9,11 +9,6 @@
 
 pub(super) const PATH: &str = "/servers";
 
-/// Returns the request target for a gateway that has the list up to an offset.
-pub(super) fn request_target(next: Option<u64>) -> String {
-    format!("{PATH}?next={}", next.map_or_else(String::new, |next| next.to_string()))
-}
-
 /// All servers in a gateway's registry.
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct ServerList {
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -75,7 +75,7 @@
     mark_history: FeedHistory<MarkChange>,
     unsent_orders: Option<(FeedUpdate, Millis, Audience)>,
     unsent_servers: Option<(u64, Millis, Audience)>,
-    unsent_marks: Option<(u64, Millis)>,
+    unsent_marks: Option<(u64, Millis, Audience)>,
 }
 
 impl Feeds {
@@ -207,6 +207,13 @@
         }
     }
 
+    /// Returns this gateway's position in a feed for a message without changes; `None` if it has none.
+    pub(crate) fn position(&mut self, feed: Feed, now: Millis) -> Option<FeedUpdate> {
+        let view = self.view(feed);
+        let (next, as_of) = (view.next()?, view.as_of()?);
+        Some(FeedUpdate { from: next, next, age: now.since(as_of) })
+    }
+
     /// Takes the unsent update on orders.
     pub(crate) fn take_orders_update(&mut self, now: Millis) -> Option<(FeedUpdate, Audience)> {
         let (update, as_of, audience) = self.unsent_orders.take()?;
@@ -228,7 +235,16 @@
         let from = self.marks.next().unwrap_or(next);
         self.marks.record_read(began, next, fastrand::u64(..));
         self.mark_history.add(from, next, changes);
-        self.unsent_marks = Some((next, began));
+        self.unsent_marks = Some((next, began, Audience::All));
+    }
+
+    /// Records that all marks as of `as_of` were fetched from another gateway; a few are notified that they can fetch them
+    /// here as well.
+    pub(crate) fn record_fetched_marks(&mut self, as_of: Millis, next: u64) {
+        self.marks.clear_offset();
+        self.marks.record_read(as_of, next, fastrand::u64(..));
+        self.mark_history.add(next, next, Vec::new());
+        self.unsent_marks = Some((next, as_of, Audience::Few));
     }
 
     /// Applies a message on marks; returns those that are new here.
@@ -256,9 +272,9 @@
     pub(crate) fn take_marks_update(
         &mut self,
         now: Millis,
-    ) -> Option<(FeedUpdate, Vec<MarkChange>)> {
-        let (next, began) = self.unsent_marks.take()?;
+    ) -> Option<(FeedUpdate, Vec<MarkChange>, Audience)> {
+        let (next, began, audience) = self.unsent_marks.take()?;
         let (from, changes) = self.mark_history.recent_changes().unwrap_or((next, Vec::new()));
-        Some((FeedUpdate { from, next, age: now.since(began) }, changes))
+        Some((FeedUpdate { from, next, age: now.since(began) }, changes, audience))
     }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -11,7 +11,7 @@
     Catalog, ConfidenceGains, ConnectTimeout, CustomerShares, DomainRegions, Evacuations,
     FeedPositions, InterruptedRuns, LeavingServers, Millis, PrefillRates, Pressure, Quarantine,
     QuarantinePolicy, Registry, RegistryPolicy, ReportNumbers, ResendBudget, ResendReason,
-    RetryAfterTimes, ReturnSchedule, SendTurns, ServerLimits, ServiceName, StreamTimes,
+    RetryAfterTimes, ReturnSchedule, SendTurns, ServerLimits, ServiceName, StartTurn, StreamTimes,
 };
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
@@ -21,7 +21,7 @@
 use crate::capacity_loans::LoanTable;
 use crate::clock::{Clock, processor_time, within};
 use crate::connection_pool::ConnectionPool;
-use crate::exchange::{EncodedServers, OrderSnapshots};
+use crate::exchange::{EncodedServers, OrderSnapshots, StoredVersions};
 use crate::feeds::{Feed, Feeds, ServerChange};
 use crate::load::LoadTable;
 use crate::metadata::HeaderCodec;
@@ -116,6 +116,12 @@
     pub(crate) orders_positions: RefCell<FeedPositions<SocketAddr>>,
     /// Positions of other gateways in the feed of backend servers.
     pub(crate) servers_positions: RefCell<FeedPositions<SocketAddr>>,
+    /// Positions of other gateways in the feed of marks.
+    pub(crate) marks_positions: RefCell<FeedPositions<SocketAddr>>,
+    /// The versions in service, as read at the start of a gateway.
+    pub(crate) stored_versions: RefCell<StoredVersions>,
+    /// When this gateway reads the store for what it lacks at its start.
+    pub(crate) start_turn: Cell<StartTurn>,
     /// The server list as last encoded for another gateway.
     pub(crate) encoded_servers: RefCell<Option<EncodedServers>>,
     /// Notified when another gateway is ahead in one of these feeds.
@@ -161,6 +167,7 @@
         let write_delay = settings.quarantine.write_delay;
         let write_delay = write_delay.after(Millis(fastrand::u64(0..=write_delay.0 / 2)));
         let quarantine = Quarantine::new(QuarantinePolicy { write_delay, ..settings.quarantine });
+        let start_turn = StartTurn::new(settings.is_first_start, Clock.now(), fastrand::u64(..));
         Self {
             settings,
             header_codec,
@@ -200,6 +207,9 @@
             orders_read_error: RefCell::default(),
             orders_positions: RefCell::default(),
             servers_positions: RefCell::default(),
+            marks_positions: RefCell::default(),
+            stored_versions: RefCell::default(),
+            start_turn: Cell::new(start_turn),
             encoded_servers: RefCell::default(),
             peer_ahead: Event::new(),
             resend_budgets: RefCell::default(),
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -145,6 +145,10 @@
     async fn send_addresses_to_newcomers(&mut self) {
         let (has_new_peers, mut recipients) =
             self.peers.with(|m| (m.take_changed(), m.take_newcomers()));
+        if self.peers.with(|m| m.take_greeting()) {
+            let live = self.shuffled_live_peers();
+            self.send(greeting(&self.gw), &live, 0).await;
+        }
         if !has_new_peers && recipients.is_empty() {
             return;
         }
@@ -230,6 +234,18 @@
     }
 }
 
+/// Builds the message by which others learn this gateway's address, and what they can fetch from it.
+fn greeting(gw: &Gateway) -> PeerMessage {
+    let now = gw.now();
+    let position = |feed| gw.with_feeds(|feeds| feeds.position(feed, now)).map(Into::into);
+    PeerMessage {
+        orders: position(Feed::Orders),
+        servers: position(Feed::Servers).map(|position| (position, Vec::new())),
+        marks: position(Feed::Marks).map(|position| (position, Vec::new())),
+        ..PeerMessage::default()
+    }
+}
+
 /// Builds the message on the feeds of the store, and returns its audience.
 fn feeds_message(gw: &Gateway) -> (PeerMessage, Audience) {
     let now = gw.now();
@@ -237,16 +253,20 @@
         let orders = feeds.take_orders_update(now);
         let servers = feeds.take_servers_update(now);
         let marks = feeds.take_marks_update(now);
-        let of_marks = marks.as_ref().map(|_| Audience::All);
-        let audiences = [orders.as_ref().map(|o| o.1), servers.as_ref().map(|s| s.2), of_marks];
+        let audiences = [
+            orders.as_ref().map(|o| o.1),
+            servers.as_ref().map(|s| s.2),
+            marks.as_ref().map(|m| m.2),
+        ];
         let is_few = audiences.iter().flatten().all(|audience| *audience == Audience::Few);
         let audience = if is_few { Audience::Few } else { Audience::All };
         let servers = servers.map(|(position, changes, _)| {
             (position.into(), changes.iter().map(Into::into).collect())
         });
         let orders = orders.map(|(position, _)| position.into());
-        let marks = marks
-            .map(|(position, changes)| (position.into(), changes.iter().map(Into::into).collect()));
+        let marks = marks.map(|(position, changes, _)| {
+            (position.into(), changes.iter().map(Into::into).collect())
+        });
         (PeerMessage { orders, servers, marks, ..PeerMessage::default() }, audience)
     })
 }
@@ -324,6 +344,10 @@
 fn apply_message(gw: &Gateway, from: SocketAddr, mut message: PeerMessage) {
     let now = gw.now();
     let fleet = gw.with_feeds(|feeds| feeds.fleet_size());
+    gw.record_known_peer();
+    if message.is_from_serving_gateway() {
+        gw.record_serving_peer(from);
+    }
     let loads = message.take_loads(now);
     for (server, limit) in &loads.limits {
         gw.apply_peer_limit(from, *server, *limit);
@@ -356,6 +380,7 @@
         let new_marks =
             gw.with_feeds(|feeds| feeds.apply_marks_update(position.into(), marks, now));
         gw.apply_peer_marks(from, &new_marks);
+        gw.record_peer_position(Feed::Marks, from, FeedUpdate::from(position).next);
     }
     match message.direct.map(DirectMessage::from) {
         None => {}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -62,13 +62,15 @@
 mod server_probe;
 mod session_keepers;
 mod settings;
+mod start;
 mod turns;
 mod upstream;
 
 pub use clock::Clock;
 pub use discovery::{AddressStore, discover_peers};
 pub use exchange::{
-    FetchedOrders, Record, feed_pages, fetch_newer_orders, fetch_newer_servers, watch_orders_age,
+    FetchedMarks, FetchedOrders, Record, feed_pages, fetch_newer_marks, fetch_newer_orders,
+    fetch_newer_servers, fetch_versions, watch_orders_age,
 };
 pub use feeds::{Feed, FeedPeriods, Feeds, ServerChange};
 pub use gateway::{ConfigSource, Gateway, Lifecycle, StoreCopy};
--- a/gateway/src/peer_message.rs
+++ b/gateway/src/peer_message.rs
@@ -450,6 +450,11 @@
         *self == Self::default()
     }
 
+    /// Returns whether the sender serves callers: it has reports on servers or customers.
+    pub(crate) fn is_from_serving_gateway(&self) -> bool {
+        !(self.sent.is_empty() && self.reports.is_empty() && self.shares.is_empty())
+    }
+
     /// Sets the fields on loads.
     pub(crate) fn set_loads(&mut self, update: LoadUpdate, now: Millis) {
         let short = |n: u64| n.min(u64::from(u16::MAX)) as u16;
--- a/gateway/src/quarantine.rs
+++ b/gateway/src/quarantine.rs
@@ -12,6 +12,7 @@
 };
 
 use crate::clock::within;
+use crate::exchange::FetchedMarks;
 use crate::feeds::Feed;
 use crate::gateway::{Gateway, StoreCopy};
 use crate::request::InFlightRequest;
@@ -133,6 +134,22 @@
         self.gossip_due.notify(usize::MAX);
     }
 
+    /// Applies all marks of another gateway, which had them from this copy of the store.
+    pub fn apply_fetched_marks(&self, fetched: &FetchedMarks, copy: StoreCopy) {
+        let now = self.now();
+        let fleet = self.with_feeds(|feeds| feeds.fleet_size());
+        let quarantined = self.with_quarantine(|q| match copy {
+            StoreCopy::Current => q.apply_snapshot(&fetched.marks, now),
+            StoreCopy::Older => {
+                q.apply_restored_snapshot(&fetched.marks, fleet, now, fastrand::u64(..))
+            }
+        });
+        self.log_quarantined(&quarantined, None);
+        self.with_feeds(|feeds| feeds.record_fetched_marks(fetched.as_of, fetched.next));
+        self.state_changed.notify(usize::MAX);
+        self.gossip_due.notify(usize::MAX);
+    }
+
     /// Applies marks that were received from a peer.
     pub(crate) fn apply_peer_marks(&self, peer: SocketAddr, marks: &[MarkChange]) {
         let quarantined = self.with_quarantine(|q| q.apply_changes(marks, self.now()));
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -55,6 +55,8 @@
     pub feeds: FeedPeriods,
     /// Maximum size of the operator's records fetched from another gateway, in bytes.
     pub max_orders_bytes: usize,
+    /// Whether the whole deployment starts for the first time.
+    pub is_first_start: bool,
     /// Whether decisions under load follow the estimated capacity of the servers from the start. Otherwise they do once a
     /// server reports that it shares its host with others.
     pub admission_control: bool,
@@ -94,6 +96,7 @@
             limits: LimitPolicy::default(),
             feeds: FeedPeriods::default(),
             max_orders_bytes: 16 * 1024 * 1024,
+            is_first_start: false,
             admission_control: false,
         }
     }
