fix(gateway): a gateway that returns alone asks those that run before it reads the store

What callers saw: nothing; of 178 gateways that were killed at once, 43 read the versions in service and 74 the orders again, and each that returned to an idle fleet made five calls.

Cause: three beliefs of a small fleet. The versions in service were sent to others only for three seconds after they had been read, so that those that run had none; a gateway that starts took the fleet for as small as it knew it, and drew its next read as one of few; and at its turn it read everything at once, though the addresses that it read with it would have led it to peers.

Change: versions come from any gateway without a rollout under way that has run for three seconds; while others may be unknown, timers are drawn as in a fleet of 64; and a gateway at its turn first finds its peers, for 0.3 s at most, and asks two of them. Those that are as new as itself, or do not run, refuse at once, and it reads.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -16,6 +16,9 @@
 /// Peers that a gateway that starts asks for the addresses of all.
 const MAX_ADDRESS_SOURCES: u32 = 4;
 
+/// Peers that a gateway asks for what it needs when it finds their addresses in the store, and which may not run.
+const MAX_PEERS_ASKED: usize = 2;
+
 /// Longest random delay of such a request, as one gateway greets all others at once.
 const MAX_REQUEST_DELAY: Millis = Millis(150);
 
@@ -80,6 +83,9 @@
             let addresses = read_addresses(&peers, &mut address_store).await;
             if peers.add(&addresses, gw.now()) {
                 peers.with(|members| members.greet_all());
+                let live = peers.live(gw.now());
+                let asked = fastrand::choose_multiple(&live, MAX_PEERS_ASKED);
+                asked.into_iter().for_each(|peer| gw.record_serving_peer(*peer));
                 gw.gossip_due.notify(usize::MAX);
             }
         }
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -117,22 +117,22 @@
     postcard::from_bytes(&body).ok()
 }
 
-/// Fetches the records of the versions in service from a gateway that has read them within the last seconds, and keeps
-/// them for others; `None` if none sends them.
-pub async fn fetch_versions(gw: &Gateway) -> Option<Vec<Record>> {
+/// Fetches the versions in service from a gateway that knows them, and sets them; returns `false` if none sends them.
+pub async fn fetch_versions(gw: &Gateway) -> bool {
     for _ in 0..MAX_VERSION_SOURCES {
-        let (began, peer) = (gw.now(), gw.pick_peer_ahead(Feed::Orders)?);
+        let Some(peer) = gw.pick_peer_ahead(Feed::Orders) else { return false };
+        let began = gw.now();
         let body = get(gw, peer, versions::PATH, gw.settings.max_orders_bytes).await;
         let Ok(Some(body)) = body else { continue };
         match versions::decode_reply(&body, began) {
-            Ok((read_at, records)) => {
-                gw.keep_stored_versions(read_at, &records);
-                return Some(records);
+            Ok((read_at, versions)) => {
+                gw.set_versions_in_service(read_at, versions);
+                return true;
             }
-            Err(e) => record_fetch_failure(gw, Feed::Orders, peer, &e.to_string()),
+            Err(why) => record_fetch_failure(gw, Feed::Orders, peer, &why),
         }
     }
-    None
+    false
 }
 
 fn record_fetch_failure(gw: &Gateway, feed: Feed, peer: SocketAddr, why: &str) {
--- a/gateway/src/exchange/mod.rs
+++ b/gateway/src/exchange/mod.rs
@@ -30,6 +30,7 @@
 
 pub(crate) use servers::EncodedServerList as EncodedServers;
 pub(crate) use versions::StoredVersions;
+pub use versions::VersionsInService;
 
 #[cfg(test)]
 mod tests;
--- a/gateway/src/exchange/progress.rs
+++ b/gateway/src/exchange/progress.rs
@@ -13,6 +13,9 @@
 /// host with a tenth of a core.
 const PEER_HEAD_START: Millis = Millis(300);
 
+/// Interval at which a gateway checks whether those that are ahead have all failed to answer.
+const PEER_POLL_INTERVAL: Millis = Millis(20);
+
 impl Gateway {
     pub(crate) fn with_orders<T>(&self, f: impl FnOnce(&mut OrderSnapshots) -> T) -> T {
         f(&mut self.orders.borrow_mut())
@@ -47,7 +50,7 @@
         }
     }
 
-    /// Records that a peer serves callers, so that a gateway that starts can ask it for each feed.
+    /// Records that a peer may serve callers, so that a gateway that starts asks it for each feed.
     pub(crate) fn record_serving_peer(&self, peer: SocketAddr) {
         for feed in [Feed::Orders, Feed::Servers, Feed::Marks] {
             if self.with_feeds(|feeds| feeds.reached(feed)).is_none() {
@@ -77,19 +80,23 @@
     /// the store instead, the calls would grow with the fleet.
     pub async fn wait_for_store_turn(&self, feed: Feed) {
         if self.with_feeds(|feeds| feeds.reached(feed)).is_none() {
-            self.wait_for_start_turn().await;
+            self.wait_for_start_read().await;
         }
         match self.with_feeds(|feeds| feeds.store_read_at(feed)) {
             Some(read_at) => sleep(read_at.since(self.now())).await,
-            None if self.is_behind(feed) => sleep(PEER_HEAD_START).await,
-            None => {}
+            None => {
+                let until = self.now().after(PEER_HEAD_START);
+                while self.is_behind(feed) && self.now() < until {
+                    sleep(PEER_POLL_INTERVAL).await;
+                }
+            }
         }
     }
 
     /// Returns whether this gateway reads the store for what it lacks of a feed, as no other can be expected to send it.
     pub fn is_store_turn(&self, feed: Feed) -> bool {
         match self.with_feeds(|feeds| (feeds.reached(feed), feeds.store_read_at(feed))) {
-            (None, _) => self.is_start_turn_due(),
+            (None, _) => self.is_start_read_due(),
             (Some(_), read_at) => read_at.is_none_or(|at| self.now() >= at),
         }
     }
--- a/gateway/src/feeds.rs
+++ b/gateway/src/feeds.rs
@@ -61,6 +61,9 @@
 /// Largest number of server changes in a message. With more, receivers read the feed themselves.
 const MAX_CHANGES: usize = 12;
 
+/// Fleet size to assume while others may be unknown.
+const ASSUMED_FLEET: usize = 64;
+
 /// Largest number of marks in a message. Each takes about 30 bytes.
 const MAX_MARKS: usize = 24;
 
@@ -76,6 +79,8 @@
     unsent_orders: Option<(FeedUpdate, Millis, Audience)>,
     unsent_servers: Option<(u64, Millis, Audience)>,
     unsent_marks: Option<(u64, Millis, Audience)>,
+    /// Gateways that this one knows, including itself.
+    known_fleet: usize,
 }
 
 impl Feeds {
@@ -90,19 +95,23 @@
             unsent_orders: None,
             unsent_servers: None,
             unsent_marks: None,
+            known_fleet: 1,
         }
     }
 
-    /// Sets the number of gateways that share reads, including this one.
-    pub(crate) fn set_fleet_size(&mut self, fleet: usize) {
-        self.orders.set_fleet_size(fleet);
-        self.servers.set_fleet_size(fleet);
-        self.marks.set_fleet_size(fleet);
+    /// Sets the number of gateways that share reads, including this one. While it `is_settling`, the fleet is taken for a
+    /// large one: a gateway that starts knows few others, and would read for itself what these read for all.
+    pub(crate) fn set_fleet_size(&mut self, fleet: usize, is_settling: bool) {
+        self.known_fleet = fleet;
+        let assumed = if is_settling { fleet.max(ASSUMED_FLEET) } else { fleet };
+        self.orders.set_fleet_size(assumed);
+        self.servers.set_fleet_size(assumed);
+        self.marks.set_fleet_size(assumed);
     }
 
     /// Returns the number of gateways that share reads, including this one.
     pub fn fleet_size(&self) -> usize {
-        self.servers.fleet_size()
+        self.known_fleet
     }
 
     fn view(&mut self, feed: Feed) -> &mut FeedView {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -357,6 +357,11 @@
         self.pressure.get().value()
     }
 
+    /// Returns the time since the start.
+    pub(crate) fn uptime(&self) -> Millis {
+        self.now().since(self.started_at)
+    }
+
     /// Returns whether callers should be routed to this gateway.
     ///
     /// # Errors
--- a/gateway/src/gossip.rs
+++ b/gateway/src/gossip.rs
@@ -175,7 +175,8 @@
     async fn send_periodic(&mut self) {
         let live = self.shuffled_live_peers();
         let fleet = live.len() + 1;
-        self.gw.with_feeds(|feeds| feeds.set_fleet_size(fleet));
+        let is_settling = self.gw.known_fleet(self.gw.now()).is_none();
+        self.gw.with_feeds(|feeds| feeds.set_fleet_size(fleet, is_settling));
         self.gw.with_rollouts(|rollouts| rollouts.set_fleet_size(fleet));
         self.gw.record_fleet_size(fleet);
         self.turn = self.turn.wrapping_add(1);
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -69,8 +69,8 @@
 pub use clock::Clock;
 pub use discovery::{AddressStore, discover_peers};
 pub use exchange::{
-    FetchedMarks, FetchedOrders, Record, feed_pages, fetch_newer_marks, fetch_newer_orders,
-    fetch_newer_servers, fetch_versions, watch_orders_age,
+    FetchedMarks, FetchedOrders, Record, VersionsInService, feed_pages, fetch_newer_marks,
+    fetch_newer_orders, fetch_newer_servers, fetch_versions, watch_orders_age,
 };
 pub use feeds::{Feed, FeedPeriods, Feeds, ServerChange};
 pub use gateway::{ConfigSource, Gateway, Lifecycle, StoreCopy};
--- a/gateway/src/session_keepers.rs
+++ b/gateway/src/session_keepers.rs
@@ -272,6 +272,11 @@
         }
     }
 
+    /// Returns whether the discovery of peers has finished, with or without peers.
+    pub(crate) fn is_peer_discovery_done(&self) -> bool {
+        self.session_keepers.is_peer_discovery_done.get()
+    }
+
     /// Records that the discovery of peers has finished, with or without peers.
     pub(crate) fn set_peer_discovery_done(&self) {
         self.session_keepers.is_peer_discovery_done.set(true);
--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -357,9 +357,16 @@
         n
     }
 
-    /// Restarts a gateway whose process has ended.
+    /// Restarts a gateway whose process has ended, which is no longer a first start.
+    ///
+    /// # Panics
+    ///
+    /// If its settings cannot be rewritten.
     pub fn restart(&mut self, n: usize) {
         let settings = self.gateways[n].settings.clone();
+        let text = std::fs::read_to_string(&settings).expect("a settings file");
+        let text = text.replace("\"bootstrap\":true", "\"bootstrap\":false");
+        std::fs::write(&settings, text).expect("a settings file");
         self.earlier_lines.push((n, self.gateways[n].process.lines()));
         self.gateways[n] = self.launch(&settings);
     }
--- a/standins/src/platform/store.rs
+++ b/standins/src/platform/store.rs
@@ -10,6 +10,9 @@
 
 use super::http::{Head, read_body, read_head};
 
+/// Records in a page of the latest ones; few, so that tests cover pagination.
+const DEFAULT_PAGE_RECORDS: usize = 3;
+
 /// Maximum kilobytes that a read returns if the request sets no limit.
 const DEFAULT_READ_KB: u64 = 1_024;
 
@@ -53,6 +56,8 @@
     append_time: Duration,
     /// When the queued appends to each topic will be done.
     appends_done_at: HashMap<String, Instant>,
+    /// Most records in a page of the latest ones.
+    page_records: usize,
     /// Number of restores from a snapshot.
     era: u32,
 }
@@ -81,6 +86,7 @@
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
         let addr = listener.local_addr().expect("an address");
         let store = Self { addr, state: Arc::default() };
+        store.set_page_records(DEFAULT_PAGE_RECORDS);
         let serving = store.clone();
         std::thread::spawn(move || {
             for stream in listener.incoming().flatten() {
@@ -110,6 +116,11 @@
         };
     }
 
+    /// Sets the number of records in a page of the latest ones.
+    pub fn set_page_records(&self, records: usize) {
+        self.lock().page_records = records;
+    }
+
     /// Sets the time that each append of a gateway takes.
     pub fn set_append_time(&self, time: Duration) {
         self.lock().append_time = time;
@@ -333,18 +344,17 @@
     }
 
     fn page(&self, name: &str, after: Option<&str>) -> Reply {
-        // Small pages, so that tests cover pagination.
-        const PAGE: usize = 3;
         let empty = Topic::default();
         let topic = self.topics.get(name).unwrap_or(&empty);
         let later = |key: &str| after.is_none_or(|after| key > after);
         let rest: Vec<_> = topic.newest.iter().filter(|(key, _)| later(key)).collect();
         let items: Vec<_> = rest
             .iter()
-            .take(PAGE)
+            .take(self.page_records)
             .map(|(key, (value, offset))| json!({"key": key, "value": base64(value), "offset": offset}))
             .collect();
-        let page = json!({"items": items, "has_more": rest.len() > PAGE, "end": topic.end()});
+        let page =
+            json!({"items": items, "has_more": rest.len() > self.page_records, "end": topic.end()});
         (200, page.to_string().into_bytes())
     }
 }
