fix(gateway): frozen peers delay the start of a gateway once, for 0.3 s, not for each thing it asks

What callers saw: nothing yet; in a test a gateway that was restarted while most others are frozen was ready over 1.5 s later.

Cause: a frozen peer's kernel accepts a connection, and the request waits for its idle timeout of a second. The versions in service were asked of two such peers before the store was read, and each feed waited for the same peers anew.

Change: versions and marks are waited for for 0.3 s; when the first feed has waited in vain, peers of which nothing but the address is known are no longer asked.

Measured: that test and the five others of its file pass, as do the four of fleet_start.rs. OPERATIONS: the event start_turn says who reads the store at its start. docs/design/whole-fleet.md has the account.

--- a/core/src/serving/feed_positions.rs
+++ b/core/src/serving/feed_positions.rs
@@ -67,6 +67,11 @@
         self.positions.entry(gateway).or_insert(position);
     }
 
+    /// Removes the gateways recorded by [`Self::record_any`] of which no offset is known.
+    pub fn forget_unproven(&mut self) {
+        self.positions.retain(|_, position| position.next > 0);
+    }
+
     /// Picks one of the gateways with the highest offset above `own`; `draw` is a random number.
     pub fn pick_ahead(&self, own: Option<u64>, draw: u64, now: Millis) -> Option<P> {
         let ahead = self.ahead(own, now);
--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -66,7 +66,9 @@
     while peers.is_empty() && !gw.is_start_turn_due() {
         sleep(START_POLL_INTERVAL).await;
     }
-    if !peers.is_empty() {
+    let is_reader = peers.is_empty();
+    gw.telemetry.info("start_turn", &[("reads", &is_reader), ("after_ms", &gw.uptime())]);
+    if !is_reader {
         learn_addresses(&gw, &peers).await;
     }
     let (mut logged_count, started_at, mut rewritten_after) = (0, gw.now(), None);
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -10,6 +10,7 @@
 
 use super::marks::{self, FetchedMarks};
 use super::page::{FeedQuery, GATEWAYS_PATH};
+use super::progress::PEER_HEAD_START;
 use super::snapshot::{OrdersReply, Record, ReplyError};
 use super::{servers, versions};
 use crate::clock::{sleep, within};
@@ -100,7 +101,9 @@
     let peer = gw.pick_peer_ahead(Feed::Marks)?;
     let (began, next) = (gw.now(), gw.with_feeds(|feeds| feeds.reached(Feed::Marks)));
     let target = FeedQuery::target_from(marks::PATH, next);
-    let fetched = match get(gw, peer, &target, gw.settings.max_orders_bytes).await {
+    let reply = get(gw, peer, &target, gw.settings.max_orders_bytes);
+    let reply = within(PEER_HEAD_START, reply).await;
+    let fetched = match reply.unwrap_or_else(|| Err("no answer in time".to_owned())) {
         Ok(None) => {
             gw.record_peer_failure(Feed::Marks, peer);
             return None;
@@ -122,7 +125,8 @@
     for _ in 0..MAX_VERSION_SOURCES {
         let Some(peer) = gw.pick_peer_ahead(Feed::Orders) else { return false };
         let began = gw.now();
-        let body = get(gw, peer, versions::PATH, gw.settings.max_orders_bytes).await;
+        let body = get(gw, peer, versions::PATH, gw.settings.max_orders_bytes);
+        let Some(body) = within(PEER_HEAD_START, body).await else { return false };
         let Ok(Some(body)) = body else { continue };
         match versions::decode_reply(&body, began) {
             Ok((read_at, versions)) => {
--- a/gateway/src/exchange/progress.rs
+++ b/gateway/src/exchange/progress.rs
@@ -11,7 +11,7 @@
 
 /// Time that a gateway that is ahead has to answer before the store is read as well. It answers within 0.1 s even on a
 /// host with a tenth of a core.
-const PEER_HEAD_START: Millis = Millis(300);
+pub(super) const PEER_HEAD_START: Millis = Millis(300);
 
 /// Interval at which a gateway checks whether those that are ahead have all failed to answer.
 const PEER_POLL_INTERVAL: Millis = Millis(20);
@@ -89,6 +89,10 @@
                 while self.is_behind(feed) && self.now() < until {
                     sleep(PEER_POLL_INTERVAL).await;
                 }
+                // Peers that may be frozen must not delay the other feeds as well.
+                for feed in [Feed::Orders, Feed::Servers, Feed::Marks] {
+                    self.with_positions(feed, FeedPositions::forget_unproven);
+                }
             }
         }
     }
