fix(gateway): what is asked of peers at a start is not forgotten by the next read, nor taken for older than it is

Cause: orders that a peer sent counted as old as the peer's last read that brought one, seconds in a calm, so that the gateway read them again at once; and the wait before any read dropped the peers that may be frozen, also when nothing had been waited for.

Evidence: gateway_that_returns_alone_asks_its_peers, its log with the moment of the drop: after orders_heard, before the servers were asked. Ruled out: peers that answer that they have nothing, and failed answers; none was logged.

Change: an answer is as old as the position that it ends at has last been confirmed; peers are dropped only when the first wait of a start has ended in vain.

--- a/gateway/src/discovery.rs
+++ b/gateway/src/discovery.rs
@@ -16,7 +16,7 @@
 /// Peers that a gateway that starts asks for the addresses of all.
 const MAX_ADDRESS_SOURCES: u32 = 4;
 
-/// Peers that a gateway asks for what it needs when it finds their addresses in the store, and which may not run.
+/// Peers that a gateway asks for what it needs before it knows whether they have it.
 const MAX_PEERS_ASKED: usize = 2;
 
 /// Longest random delay of such a request, as one gateway greets all others at once.
@@ -69,6 +69,8 @@
     let is_reader = peers.is_empty();
     gw.telemetry.info("start_turn", &[("reads", &is_reader), ("after_ms", &gw.uptime())]);
     if !is_reader {
+        ask_some_peers(&gw, &peers);
+        gw.record_peers_joined();
         learn_addresses(&gw, &peers).await;
     }
     let (mut logged_count, started_at, mut rewritten_after) = (0, gw.now(), None);
@@ -85,9 +87,7 @@
             let addresses = read_addresses(&peers, &mut address_store).await;
             if peers.add(&addresses, gw.now()) {
                 peers.with(|members| members.greet_all());
-                let live = peers.live(gw.now());
-                let asked = fastrand::choose_multiple(&live, MAX_PEERS_ASKED);
-                asked.into_iter().for_each(|peer| gw.record_serving_peer(*peer));
+                ask_some_peers(&gw, &peers);
                 gw.gossip_due.notify(usize::MAX);
             }
         }
@@ -101,8 +101,15 @@
     }
 }
 
-/// Adds the addresses that a peer knows. Those that a peer's messages bring come in parts, and in an order of seconds where
-/// hundreds of gateways start.
+/// Makes this gateway ask some peers for what it lacks at its start, of which it knows only the addresses.
+fn ask_some_peers(gw: &Gateway, peers: &PeerTable) {
+    let live = peers.live(gw.now());
+    let asked = fastrand::choose_multiple(&live, MAX_PEERS_ASKED);
+    asked.into_iter().for_each(|peer| gw.record_serving_peer(*peer));
+}
+
+/// Adds the addresses that a peer knows. Messages bring them in parts, and within seconds where hundreds of gateways
+/// start.
 async fn learn_addresses(gw: &Gateway, peers: &PeerTable) {
     for _ in 0..MAX_ADDRESS_SOURCES {
         sleep(Millis(fastrand::u64(..MAX_REQUEST_DELAY.0))).await;
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -116,7 +116,8 @@
 
 /// Fetches the addresses of all gateways that a peer knows; `None` if it does not send them.
 pub(crate) async fn fetch_addresses(gw: &Gateway, peer: SocketAddr) -> Option<Vec<SocketAddr>> {
-    let body = get(gw, peer, GATEWAYS_PATH, MAX_ADDRESSES_BYTES).await.ok()??;
+    let body = get(gw, peer, GATEWAYS_PATH, MAX_ADDRESSES_BYTES);
+    let body = within(PEER_HEAD_START, body).await?.ok()??;
     postcard::from_bytes(&body).ok()
 }
 
--- a/gateway/src/exchange/page.rs
+++ b/gateway/src/exchange/page.rs
@@ -5,7 +5,7 @@
 use http::{Response, StatusCode, Uri};
 
 use super::servers::{self, ServerList};
-use super::snapshot::Digest;
+use super::snapshot::{Digest, OrdersReply};
 use super::{marks, versions};
 use crate::feeds::Feed;
 use crate::gateway::Gateway;
@@ -57,6 +57,14 @@
             PATH => {
                 let reply =
                     gw.with_orders(|orders| orders.reply_to(query.base, query.next, gw.now()));
+                let position = gw.with_feeds(|feeds| feeds.position(Feed::Orders, gw.now()));
+                let reply = reply.map(|reply| match position {
+                    // The feed has been confirmed to end there since the records were read.
+                    Some(position) if position.next == reply.next => {
+                        OrdersReply { age: reply.age.min(position.age.0), ..reply }
+                    }
+                    _ => reply,
+                });
                 reply.and_then(|reply| postcard::to_stdvec(&reply).ok())
             }
             servers::PATH => encode_servers_reply(&gw, query.next),
--- a/gateway/src/exchange/progress.rs
+++ b/gateway/src/exchange/progress.rs
@@ -79,20 +79,21 @@
     /// Waits while a gateway that is ahead in a feed can be expected to send what this one lacks. If all that lack it read
     /// the store instead, the calls would grow with the fleet.
     pub async fn wait_for_store_turn(&self, feed: Feed) {
-        if self.with_feeds(|feeds| feeds.reached(feed)).is_none() {
+        let is_start = self.with_feeds(|feeds| feeds.reached(feed)).is_none();
+        if is_start {
             self.wait_for_start_read().await;
         }
-        match self.with_feeds(|feeds| feeds.store_read_at(feed)) {
-            Some(read_at) => sleep(read_at.since(self.now())).await,
-            None => {
-                let until = self.now().after(PEER_HEAD_START);
-                while self.is_behind(feed) && self.now() < until {
-                    sleep(PEER_POLL_INTERVAL).await;
-                }
-                // Peers that may be frozen must not delay the other feeds as well.
-                for feed in [Feed::Orders, Feed::Servers, Feed::Marks] {
-                    self.with_positions(feed, FeedPositions::forget_unproven);
-                }
+        if let Some(read_at) = self.with_feeds(|feeds| feeds.store_read_at(feed)) {
+            return sleep(read_at.since(self.now())).await;
+        }
+        let until = self.now().after(PEER_HEAD_START);
+        while self.is_behind(feed) && self.now() < until {
+            sleep(PEER_POLL_INTERVAL).await;
+        }
+        if is_start && self.now() >= until {
+            // Peers that may be frozen must not delay the other feeds as well.
+            for feed in [Feed::Orders, Feed::Servers, Feed::Marks] {
+                self.with_positions(feed, FeedPositions::forget_unproven);
             }
         }
     }
