--- a/review/common/mod.rs
+++ b/review/common/mod.rs
@@ -10,6 +10,7 @@
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::os::unix::process::CommandExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
 use std::sync::{Arc, Mutex};
@@ -387,12 +388,14 @@
         let pid = std::process::id();
         let ip = Ipv4Addr::new(127, 80 + (pid >> 8 & 63) as u8, (pid & 255) as u8, n);
         let port = |port| TcpListener::bind(SocketAddrV4::new(ip, port)).and_then(|l| l.local_addr());
-        let free = |wanted: u16| {
-            port(wanted).unwrap_or_else(|e| give_up(&format!("{ip}:{wanted}: {e}")))
+        let free = |from: u16| {
+            (from..from + 500)
+                .find_map(|wanted| port(wanted).ok())
+                .unwrap_or_else(|| give_up(&format!("no free port at {ip} from {from}")))
         };
-        // The metrics port of the deploy file, then ports for callers, readiness and peers.
-        free(9100);
-        let (front, ready, peers) = (free(8227), free(8220), free(7340));
+        // The command of the deploy file leaves the port of the metrics page at its default.
+        port(9100).unwrap_or_else(|e| give_up(&format!("{ip}:9100: {e}")));
+        let (front, ready, peers) = (free(18_000), free(19_000), free(17_000));
         let name = format!("front-hall-1-{n}");
         let settings = self.folder.join(format!("{name}.json"));
         let text = format!(
@@ -431,6 +434,10 @@
     }
 }
 
+unsafe extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 impl Gateway {
     /// Starts the process.
     pub fn launch(&mut self) {
@@ -444,6 +451,15 @@
             }
         }
         command.stdin(Stdio::null()).stdout(log.try_clone().unwrap()).stderr(log);
+        // Ends the gateway with this process, however that ends.
+        unsafe {
+            command.pre_exec(|| {
+                const PR_SET_PDEATHSIG: i32 = 1;
+                const SIGKILL: u64 = 9;
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
         let child = command.spawn();
         self.child = Some(child.unwrap_or_else(|e| give_up(&format!("{}: {e}", self.name))));
     }
