--- a/review/4/case.rs
+++ b/review/4/case.rs
@@ -1,5 +1,5 @@
-//! The operator takes away the API keys of all tenants; requests with those keys, with a key that never existed and
-//! without a key are sent after the bound.
+//! A new version of the configuration adds a stream route with several models whose streams may not be resumed; the
+//! models have little confidence in their answers.
 
 #[path = "../common-2/mod.rs"]
 mod common;
@@ -8,72 +8,68 @@
 use std::time::Duration;
 
 use common::{Record, Verdict, fleet, has_trouble, message, send};
-use redwingfold_standins::platform::{Config, Plan};
+use redwingfold_standins::platform::{Config, Plan, Route, StreamPlan};
 
-/// `config_apply_ms` of the deployment.
-const CONFIG_APPLY: Duration = Duration::from_millis(2_000);
+/// `config_apply_ms` of the deployment, and a second more.
+const IN_FORCE_AFTER: Duration = Duration::from_millis(3_000);
 
-/// Time in addition to the bound, so that a late reading of the clock excuses nothing.
-const MARGIN: Duration = Duration::from_millis(1_000);
+const REQUESTS: usize = 20;
 
-/// Pause between two versions of the configuration.
-const REVOKE_GAP: Duration = Duration::from_millis(500);
-
-const REQUESTS_PER_KEY: usize = 5;
+/// Confidence that the engines report, from 0 to 100.
+const CONFIDENCE: u8 = 5;
 
 fn main() {
     let record = Record::create();
     let mut fleet = fleet();
     let mut config = Config::default();
     fleet.publish(&config);
-    fleet.engine("p1", "plain", |arrival| {
-        Plan::Answer(200, format!("answer to {}", arrival.id()).into_bytes())
-    });
-    fleet.start_ready();
-    let callers = fleet.gateways[0].callers;
-    let first = send(callers, &message("POST", "/send/a", "first", Some("key-ani"), 4_000));
-    record.line(&format!("before: key-ani gets {}", first.status()));
-    if first.status() != 200 {
-        record.finish(fleet, Verdict::NotRun, "the first request was not served");
+    for id in ["e1", "e2", "e3"] {
+        fleet.engine(id, "models", |_| {
+            Plan::Stream(StreamPlan { confidence: Some(CONFIDENCE), ..StreamPlan::default() })
+        });
     }
+    fleet.start_ready();
     // Time in which the gateway has been in touch with the platform.
     sleep(Duration::from_millis(3_500));
-    for tenant in 0..config.keys.len() {
-        if has_trouble() {
-            config.keys[tenant].1.clear();
-        }
+    // Without the new route, the requests go to one of the same kind without a choice of models.
+    let (path, model) = if has_trouble() { ("/fresh/a", "*") } else { ("/once/a", "s") };
+    if has_trouble() {
+        let overrides = r#"{"max_attempts": 3, "sizes": ["s", "m", "l"]}"#;
+        config.routes.push(Route {
+            name: "fresh",
+            service: "models",
+            kind: "stream",
+            overrides: overrides.parse().expect("fields of a route"),
+        });
         config.version += 1;
         fleet.publish(&config);
-        record.line(&format!(
-            "version {} acknowledged; keys of the tenants: {:?}",
-            config.version, config.keys
-        ));
-        sleep(REVOKE_GAP);
+        record.line("version 2 acknowledged: adds the stream route `fresh` with sizes and without resume_streams");
+        sleep(IN_FORCE_AFTER);
     }
-    sleep(CONFIG_APPLY + MARGIN);
-    let mut wrong = Vec::new();
-    for key in [Some("key-ani"), Some("key-haus"), Some("key-never-given"), None] {
-        let is_held = key.is_some_and(|key| config.keys.iter().any(|(_, keys)| keys.contains(&key)));
-        for n in 0..REQUESTS_PER_KEY {
-            let id = format!("{}-{n}", key.unwrap_or("no-key"));
-            let got = send(callers, &message("POST", "/send/a", &id, key, 4_000));
-            let runs = fleet.runs(&id);
-            let tenant = runs.first().and_then(|run| run.head.get("tenant")).unwrap_or("none");
-            record.line(&format!(
-                "request {id}: status {}, {} runs, tenant at the engine: {tenant}",
-                got.status(),
-                runs.len()
-            ));
-            match is_held {
-                true if got.status() != 200 => {
-                    record.finish(fleet, Verdict::NotRun, "a request with a valid key was not served");
-                }
-                false if !runs.is_empty() => wrong.push(id),
-                _ => {}
-            }
+    let (mut twice, mut served) = (Vec::new(), 0);
+    for n in 0..REQUESTS {
+        let id = format!("r{n}");
+        let prompt = format!("Model: {model}\r\nToken-Usage: 100,10\r\nPrompt-Prefix: a1:60,b{n}:40\r\n");
+        let text = message("POST", path, &id, Some("key-ani"), 20_000);
+        let got = send(
+            fleet.gateways[0].callers,
+            &text.replace("Content-Length", &format!("{prompt}Content-Length")),
+        );
+        let runs = fleet.runs(&id);
+        let ran: Vec<_> = runs
+            .iter()
+            .map(|run| format!("{} as model {}", run.server, run.head.get("model").unwrap_or("none")))
+            .collect();
+        record.line(&format!("request {id} {path}: status {}, ran at {ran:?}", got.status()));
+        served += usize::from(got.status() == 200 && got.is_whole);
+        if runs.len() > 1 {
+            twice.push(id);
         }
     }
-    let why = format!("{} requests without a valid key ran: {wrong:?}", wrong.len());
-    let verdict = if wrong.is_empty() { Verdict::Held } else { Verdict::Broken };
+    if served == 0 {
+        record.finish(fleet, Verdict::NotRun, "no request was served");
+    }
+    let why = format!("{served} served; {} of {REQUESTS} ran more than once: {twice:?}", twice.len());
+    let verdict = if twice.is_empty() { Verdict::Held } else { Verdict::Broken };
     record.finish(fleet, verdict, &why);
 }
