fix(gateway): a request that may run once no longer runs again on a larger model

What callers saw: nothing; one answer. On routes with a choice of models whose streams may not be resumed, 14 of 20 requests ran on the smallest model and then on the largest, and so did plain calls that may run once.

Cause: retries after failures asked whether the request may run again; the choice of a larger model asked for the attempts left and the quarantine only. Five places decided on a second send, each by a list of conditions of its own.

Evidence: the gateway's log of 20 such requests has a line larger_model for each of the 14 that ran twice, 1 to 33 ms after they were received, and no attempt_failed, answer_failed, answer_broken or stream_goes_on; the other six were held back by the budget of larger models. Ruled out by that: a retry after a failure, and a second attempt of the caller (one request line with sends=2).

Change: SentRequest (core) decides for every second run, and InFlightRequest::try_resend is the only way to one: after lost, silent, failed, refused and broken answers, for resumed streams, for larger models. Kept connections ask it as well. A request that may run once is sent again only if its server said that it did not run. A refused request whose time is up now ends with the error for its deadline.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -66,9 +66,9 @@
     Quarantine, QuarantinePolicy, QueueFull, Registry, RegistryPolicy, ReportNumbers,
     RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, Return, ReturnCounts,
     ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route, RouteEvidence, RouteName,
-    Run, RunTimes, SendCounts, SendTurns, ServerFacts, ServerHealth, ServerLimits, ServerReport,
-    ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
-    StartRate, StartTurn, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
+    Run, RunTimes, SendCounts, SendTurns, SentRequest, ServerFacts, ServerHealth, ServerLimits,
+    ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch,
+    SizePolicy, StartRate, StartTurn, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
     UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter,
     is_in_first_half, lead_servers, place, service_hash,
 };
--- a/core/src/serving/catalog.rs
+++ b/core/src/serving/catalog.rs
@@ -126,6 +126,14 @@
 }
 
 impl Route {
+    /// Returns whether a request may run more than once. A stream may if it may be resumed.
+    pub fn is_repeatable(&self) -> bool {
+        match (self.idempotency, self.stream) {
+            (_, Some(stream)) => stream.resumable,
+            (idempotency, None) => idempotency == Idempotency::Idempotent,
+        }
+    }
+
     /// Chooses a service at random by weight; `draw` is a random number.
     pub fn choose_service(&self, draw: u64) -> Option<&ServiceName> {
         let total: u64 = self.targets.iter().map(|(_, weight)| u64::from(*weight)).sum();
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -32,6 +32,7 @@
 mod registry;
 mod retry_after;
 mod returns;
+mod second_run;
 mod sessions;
 mod shares;
 mod silence;
@@ -86,6 +87,7 @@
 };
 pub use retry_after::RetryAfterTimes;
 pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule, service_hash};
+pub use second_run::SentRequest;
 pub use sessions::{MovedSessions, SessionKey};
 pub use shares::{CustomerShares, ReportNumbers};
 pub use silence::{Awaited, SilencePolicy, SilenceWatch};
--- /dev/null
+++ b/core/src/serving/second_run.rs
@@ -0,0 +1,49 @@
+//! Decision whether a request that was sent to a backend server may be sent to another.
+
+use crate::error::RunState;
+use crate::ids::Millis;
+
+/// What decides whether a request may be sent once more.
+///
+/// A larger model, a stream that is resumed and a retry after a lost connection all run the request again. They share
+/// this decision, so that none of them can run a request twice that may run only once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SentRequest {
+    /// Whether its route allows more than one run: see [`Route::is_repeatable`](crate::Route::is_repeatable).
+    pub is_repeatable: bool,
+    /// Whether any attempt so far may have run it.
+    pub run_state: RunState,
+    /// Sends to backend servers so far.
+    pub sends: u32,
+    /// Most sends that the route allows.
+    pub max_attempts: u32,
+    /// Time until its deadline.
+    pub time_left: Millis,
+}
+
+impl SentRequest {
+    /// Returns whether the request may be sent again.
+    ///
+    /// ```
+    /// use redwingfold_core::{Millis, RunState, SentRequest};
+    /// let once = SentRequest {
+    ///     is_repeatable: false,
+    ///     run_state: RunState::MayHaveRun,
+    ///     sends: 1,
+    ///     max_attempts: 3,
+    ///     time_left: Millis(900),
+    /// };
+    /// assert!(!once.may_resend());
+    /// let refused = SentRequest { run_state: RunState::NotRun, ..once };
+    /// assert!(refused.may_resend());
+    /// ```
+    pub fn may_resend(&self) -> bool {
+        let may_run = self.is_repeatable || self.run_state == RunState::NotRun;
+        may_run && self.sends < self.max_attempts && self.time_left > Millis(0)
+    }
+
+    /// Returns the request after one more send whose outcome is unknown.
+    pub fn after_send(self) -> Self {
+        Self { run_state: RunState::MayHaveRun, sends: self.sends + 1, ..self }
+    }
+}
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use redwingfold_core::{
-    Awaited, BackendServer, EventId, Idempotency, KeepAlive, Millis, SilenceWatch,
+    Awaited, BackendServer, EventId, KeepAlive, Millis, ResendReason, SilenceWatch,
 };
 
 use crate::clock::within;
@@ -239,8 +239,7 @@
         source: ConnectionSource,
     ) -> Option<HttpConnection> {
         let may_reuse = source == ConnectionSource::Any
-            && self.is_retryable()
-            && self.sends + 1 < self.route.max_attempts
+            && self.sent_request().after_send().may_resend()
             && !self.is_quarantined();
         if may_reuse { self.gw.take_idle_connection(server) } else { None }
     }
@@ -336,7 +335,9 @@
             if let Some(res) = within(SILENCE_POLL_INTERVAL.min(time_left), &mut answered).await {
                 return Some(res);
             }
-            if self.is_server_silent(&mut watch, server, awaited) && self.try_retry() {
+            if self.is_server_silent(&mut watch, server, awaited)
+                && self.try_resend(ResendReason::Failure)
+            {
                 return None;
             }
         }
@@ -357,12 +358,4 @@
             self.gw.pressure(),
         )
     }
-
-    /// Returns whether the request may run more than once.
-    pub(crate) fn is_retryable(&self) -> bool {
-        match (self.route.idempotency, self.route.stream) {
-            (_, Some(stream)) => stream.resumable,
-            (idempotency, None) => idempotency == Idempotency::Idempotent,
-        }
-    }
 }
--- a/gateway/src/model_choice.rs
+++ b/gateway/src/model_choice.rs
@@ -6,7 +6,7 @@
 
 impl InFlightRequest {
     /// Returns whether an answer is accepted with the model's confidence in it. If not, takes a retry from the budget and
-    /// selects a larger model for it.
+    /// selects a larger model for it. The answer of a request that may not run again is always accepted.
     pub(crate) fn accept_confidence(&mut self, size: usize, confidence: u8) -> bool {
         match self.last_confidence.replace((size, confidence)) {
             Some(smaller) if smaller.0 < size => {
@@ -18,9 +18,8 @@
             }
             _ => {}
         }
-        let may = self.sends < self.route.max_attempts && !self.is_quarantined();
-        match self.choose_larger(size, confidence).filter(|_| may) {
-            Some(larger) if self.gw.try_take_resend(&self.service, ResendReason::Quality) => {
+        match self.choose_larger(size, confidence) {
+            Some(larger) if self.try_resend(ResendReason::Quality) => {
                 self.log_larger_model(size, confidence, larger);
                 self.size = Some(larger);
                 false
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use futures_lite::Stream;
 use http_body::Frame;
-use redwingfold_core::{Awaited, EventSplitter, Millis, SilenceWatch};
+use redwingfold_core::{Awaited, EventSplitter, Millis, ResendReason, SilenceWatch};
 
 use crate::attempt::{BodyRead, SILENCE_POLL_INTERVAL, UpstreamResponse};
 use crate::clock::sleep;
@@ -76,7 +76,9 @@
             // Dropped before the next attempt, so that two servers never work on the same stream.
             drop(response);
             self.events.discard_partial();
-            if !std::mem::take(&mut self.is_retry_budgeted) && !self.request.try_retry() {
+            if !std::mem::take(&mut self.is_retry_budgeted)
+                && !self.request.try_resend(ResendReason::Failure)
+            {
                 return StreamEnd::Cut(why);
             }
             self.request.gw.telemetry.info(
@@ -115,7 +117,7 @@
                 RelayStep::CallerGone => return Ok(StreamEnd::CallerGone),
                 RelayStep::Deadline => return Ok(StreamEnd::Cut("deadline".to_owned())),
                 // A silent server is given up only if a retry is allowed.
-                RelayStep::Silent if self.request.try_retry() => {
+                RelayStep::Silent if self.request.try_resend(ResendReason::Failure) => {
                     self.is_retry_budgeted = true;
                     return Err("silent".to_owned());
                 }
@@ -185,7 +187,7 @@
             loop {
                 sleep(SILENCE_POLL_INTERVAL).await;
                 let is_silent = self.request.is_server_silent(&mut watch, &server, awaited);
-                if is_silent && self.request.is_retryable() {
+                if is_silent && self.request.sent_request().may_resend() {
                     return RelayStep::Silent;
                 }
             }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -6,8 +6,8 @@
 use http::{HeaderMap, Method, StatusCode, Uri};
 use redwingfold_core::{
     Arm, BackendId, BackendServer, Catalog, Customer, Demand, EndedRun, ErrorKind, EventId, Fault,
-    Fingerprint, Millis, Priority, ResendReason, Route, RunState, ServiceName, VersionName, Work,
-    is_in_first_half,
+    Fingerprint, Millis, Priority, ResendReason, Route, RunState, SentRequest, ServiceName,
+    VersionName, Work, is_in_first_half,
 };
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -253,10 +253,8 @@
                 AttemptOutcome::NotRun(why) => {
                     self.run_state = run_before;
                     self.record_refusal(&server, &why)?;
-                    if self.sends >= self.route.max_attempts
-                        || !self.is_retry_admitted()
-                        || !self.take_retry_budget()
-                    {
+                    self.check_deadline()?;
+                    if !self.try_resend(ResendReason::Failure) {
                         return Err(self.overloaded_error(why));
                     }
                 }
@@ -267,7 +265,7 @@
                 }
                 AttemptOutcome::Stale(why) => {
                     self.check_deadline()?;
-                    if !self.try_retry() {
+                    if !self.try_resend(ResendReason::Failure) {
                         return Err(RequestError::new(ErrorKind::BackendLost, why));
                     }
                     resend = Some((server, prefill_wait, ConnectionSource::New));
@@ -278,7 +276,7 @@
                 AttemptOutcome::Lost(why) => {
                     self.record_failure(&server, Fault::Lost);
                     self.check_deadline()?;
-                    if !self.try_retry() {
+                    if !self.try_resend(ResendReason::Failure) {
                         return Err(RequestError::new(ErrorKind::BackendLost, why));
                     }
                 }
@@ -351,7 +349,7 @@
         if is_failure {
             self.log_error_response(response);
             self.record_failure(&response.server, Fault::Answered);
-            return !self.try_retry();
+            return !self.try_resend(ResendReason::Failure);
         }
         self.gw.loads.record_success(&response.server);
         let (Some(size), true) = (self.size, response.head.status.is_success()) else {
@@ -429,7 +427,7 @@
             self.record_broken_response(&response, &why).await;
             drop(response);
             self.check_deadline()?;
-            if !self.try_retry() {
+            if !self.try_resend(ResendReason::Failure) {
                 return Err(RequestError::new(ErrorKind::BackendLost, why));
             }
             response = Box::pin(self.obtain_response(None)).await?;
@@ -461,17 +459,27 @@
         Err(RequestError::new(kind, format!("after {} ms", self.deadline.since(self.received_at))))
     }
 
-    /// Returns whether the request may be retried after a failure, and takes the retry from the budget.
-    pub(crate) fn try_retry(&mut self) -> bool {
-        let may = self.is_retryable()
-            && self.sends < self.route.max_attempts
-            && self.time_left() > Millis(0)
-            && self.is_retry_admitted();
-        may && self.take_retry_budget()
+    /// Returns what decides whether the request may be sent again.
+    pub(crate) fn sent_request(&self) -> SentRequest {
+        SentRequest {
+            is_repeatable: self.route.is_repeatable(),
+            run_state: self.run_state,
+            sends: self.sends,
+            max_attempts: self.route.max_attempts,
+            time_left: self.time_left(),
+        }
     }
 
-    fn take_retry_budget(&mut self) -> bool {
-        self.gw.try_take_resend(&self.service, ResendReason::Failure)
+    /// Returns whether the request may be sent again, and takes the send from the budget.
+    pub(crate) fn try_resend(&mut self, why: ResendReason) -> bool {
+        let is_admitted = match why {
+            ResendReason::Failure => self.is_retry_admitted(),
+            // A request that is suspected of terminating servers is sent no more often than necessary.
+            ResendReason::Quality => !self.is_quarantined(),
+        };
+        self.sent_request().may_resend()
+            && is_admitted
+            && self.gw.try_take_resend(&self.service, why)
     }
 
     fn record_unreachable(
