fix(gateway): an answer that has begun is no longer replaced by that of a larger model

What callers saw: a stream that broke off and went on took longer to do so. The resumed run reported little confidence, was dropped and asked of a larger model, although the caller had the events of the first run already.

The choice of a larger model did not ask whether the answer had begun, since all attempts of a stream, also those that resume it, come by the same way.

Change: SentRequest knows whether the caller gets the beginning of an answer, and for which reason it is asked. Failures may still be mended by a second run, a larger model may not replace what is there.

--- a/core/tests/second_run.rs
+++ b/core/tests/second_run.rs
@@ -1,12 +1,19 @@
 //! When a request that was sent may be sent again.
 
 use redwingfold_core::{
-    AllowedRegions, Idempotency, Millis, Priority, Route, RouteName, RunState, SentRequest,
-    ServiceName, StreamRules,
+    AllowedRegions, Idempotency, Millis, Priority, ResendReason, Route, RouteName, RunState,
+    SentRequest, ServiceName, StreamRules,
 };
 
 fn sent(is_repeatable: bool, run_state: RunState) -> SentRequest {
-    SentRequest { is_repeatable, run_state, sends: 1, max_attempts: 3, time_left: Millis(500) }
+    SentRequest {
+        is_repeatable,
+        run_state,
+        is_answer_begun: false,
+        sends: 1,
+        max_attempts: 3,
+        time_left: Millis(500),
+    }
 }
 
 fn route(idempotency: Idempotency, stream: Option<StreamRules>) -> Route {
@@ -30,24 +37,34 @@
 /// Guards against a second run of a request that may run once and has run, or may have.
 #[test]
 fn request_that_may_run_once_is_sent_again_only_if_it_has_not_run() {
-    let may = |is_repeatable, run_state| sent(is_repeatable, run_state).may_resend();
+    let may =
+        |is_repeatable, run_state| sent(is_repeatable, run_state).may_resend(ResendReason::Failure);
     assert!(may(false, RunState::NotRun));
     assert!(!may(false, RunState::MayHaveRun) && !may(false, RunState::Ran));
     for run_state in [RunState::NotRun, RunState::MayHaveRun, RunState::Ran] {
         assert!(may(true, run_state));
     }
-    assert!(!sent(false, RunState::NotRun).after_send().may_resend());
-    assert!(sent(true, RunState::NotRun).after_send().may_resend());
+    assert!(!sent(false, RunState::NotRun).after_send().may_resend(ResendReason::Failure));
+    assert!(sent(true, RunState::NotRun).after_send().may_resend(ResendReason::Failure));
+}
+
+/// Guards against an answer that is replaced after its caller has received its beginning. A broken one may go on.
+#[test]
+fn larger_model_does_not_replace_an_answer_that_has_begun() {
+    let first = sent(true, RunState::MayHaveRun);
+    let begun = SentRequest { is_answer_begun: true, ..first };
+    assert!(first.may_resend(ResendReason::Quality) && begun.may_resend(ResendReason::Failure));
+    assert!(!begun.may_resend(ResendReason::Quality));
 }
 
 /// Guards against more sends than the route allows, and against a send for which no time is left.
 #[test]
 fn attempts_and_the_deadline_bound_all_sends() {
     let first = sent(true, RunState::NotRun);
-    assert!(SentRequest { sends: 2, ..first }.may_resend());
-    assert!(!SentRequest { sends: 3, ..first }.may_resend());
-    assert!(!SentRequest { sends: 2, ..first }.after_send().may_resend());
-    assert!(!SentRequest { time_left: Millis(0), ..first }.may_resend());
+    assert!(SentRequest { sends: 2, ..first }.may_resend(ResendReason::Failure));
+    assert!(!SentRequest { sends: 3, ..first }.may_resend(ResendReason::Failure));
+    assert!(!SentRequest { sends: 2, ..first }.after_send().may_resend(ResendReason::Failure));
+    assert!(!SentRequest { time_left: Millis(0), ..first }.may_resend(ResendReason::Failure));
 }
 
 /// Guards against a stream that may not be resumed but counts as repeatable, whatever its route says of plain calls.
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -239,7 +239,7 @@
         source: ConnectionSource,
     ) -> Option<HttpConnection> {
         let may_reuse = source == ConnectionSource::Any
-            && self.sent_request().after_send().may_resend()
+            && self.sent_request().after_send().may_resend(ResendReason::Failure)
             && !self.is_quarantined();
         if may_reuse { self.gw.take_idle_connection(server) } else { None }
     }
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -23,7 +23,11 @@
 const SURVIVAL_TIME: Millis = Millis(500);
 
 /// Starts forwarding a stream in a separate task, and returns the response for the caller.
-pub(crate) fn start(request: InFlightRequest, response: Box<UpstreamResponse>) -> GatewayResponse {
+pub(crate) fn start(
+    mut request: InFlightRequest,
+    response: Box<UpstreamResponse>,
+) -> GatewayResponse {
+    request.is_answer_begun = true;
     let (tx, rx) = bounded(MAX_BUFFERED_CHUNKS);
     let res = forwarded_response(&response, boxed_body(ChannelBody { rx: Box::pin(rx) }));
     let gw = request.gw.clone();
@@ -187,7 +191,7 @@
             loop {
                 sleep(SILENCE_POLL_INTERVAL).await;
                 let is_silent = self.request.is_server_silent(&mut watch, &server, awaited);
-                if is_silent && self.request.sent_request().may_resend() {
+                if is_silent && self.request.sent_request().may_resend(ResendReason::Failure) {
                     return RelayStep::Silent;
                 }
             }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -75,6 +75,8 @@
     /// Index of the model that answered last, and its confidence.
     pub(crate) last_confidence: Option<(usize, u8)>,
     pub(crate) time_to_first_byte: Option<Millis>,
+    /// Whether the caller gets the beginning of an answer already.
+    pub(crate) is_answer_begun: bool,
     /// Events forwarded to the caller.
     pub(crate) event_count: usize,
     /// Longest time between two forwarded events.
@@ -147,6 +149,7 @@
             confidence: None,
             last_confidence: None,
             time_to_first_byte: None,
+            is_answer_begun: false,
             event_count: 0,
             longest_pause: Millis(0),
             admitted_at: None,
@@ -464,6 +467,7 @@
         SentRequest {
             is_repeatable: self.route.is_repeatable(),
             run_state: self.run_state,
+            is_answer_begun: self.is_answer_begun,
             sends: self.sends,
             max_attempts: self.route.max_attempts,
             time_left: self.time_left(),
@@ -477,7 +481,7 @@
             // A request that is suspected of terminating servers is sent no more often than necessary.
             ResendReason::Quality => !self.is_quarantined(),
         };
-        self.sent_request().may_resend()
+        self.sent_request().may_resend(why)
             && is_admitted
             && self.gw.try_take_resend(&self.service, why)
     }
