fix(gateway): interim responses without end no longer stop a gateway

What callers saw: one backend server that sends "HTTP/1.1 100 Continue" again and again stops a whole gateway. It answers nobody, its readiness check fails, no deadline ends a request.

Cause: the HTTP client skips interim responses in a loop that ends when no bytes are left to read. A server on a fast link sends them faster than they are parsed, so that the loop never returns to the executor, and the gateway has one thread.

Ruled out: memory (the largest buffer of a head bounds the others).

Heads of responses may have 64 kB in place of the library's 400 kB, as a gateway of 110 MB reads hundreds of them. The connections to the store and to other gateways are the same kind, and are bounded as well.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -31,6 +31,7 @@
 mod gateway;
 mod gossip;
 mod header_timer;
+mod interim_limit;
 mod limits;
 mod load;
 mod loop_turn;
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -15,8 +15,12 @@
 use smol_hyper::rt::FuturesIo;
 
 use crate::clock::{Clock, within};
+use crate::interim_limit::{InterimCount, InterimLimit};
 use crate::net::connect;
 
+/// Largest head of a response.
+const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
+
 /// Error of a call without a complete response.
 #[derive(Debug)]
 pub enum CallError {
@@ -67,7 +71,9 @@
         let why = error_chain(e);
         match () {
             () if is_unsent => Self::NotWritten(why),
-            () if e.is_parse() || e.is_parse_too_large() => Self::Invalid(why),
+            () if e.is_parse() || e.is_parse_too_large() || is_invalid_data(e) => {
+                Self::Invalid(why)
+            }
             () => Self::Closed(why),
         }
     }
@@ -77,6 +83,7 @@
 #[derive(Debug)]
 pub struct HttpConnection {
     tx: SendRequest<Full<Bytes>>,
+    interim_count: InterimCount,
     /// Task that drives the connection; dropping it closes the connection.
     _conn: Task<()>,
 }
@@ -93,13 +100,18 @@
         limit: Millis,
     ) -> Result<Self, CallError> {
         let stream = connect(addr, limit).await.map_err(CallError::Unreachable)?;
-        let made = http1::Builder::new().handshake(FuturesIo::new(stream)).await;
+        let interim_count = InterimCount::default();
+        let stream = InterimLimit { stream, count: interim_count.clone() };
+        let made = http1::Builder::new()
+            .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
+            .handshake(FuturesIo::new(stream))
+            .await;
         let (tx, conn) = made.map_err(|e| CallError::Unreachable(io::Error::other(e)))?;
         let driven = async move {
             // Errors are returned by the request on this connection.
             conn.await.ok();
         };
-        Ok(Self { tx, _conn: executor.spawn(driven) })
+        Ok(Self { tx, interim_count, _conn: executor.spawn(driven) })
     }
 
     /// Sends a request and returns the response with its body unread.
@@ -109,16 +121,18 @@
     /// [`CallError::Unknown`]: the server may have received it.
     pub async fn send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, CallError> {
+        self.interim_count.restart_for(&mut req);
         self.tx.send_request(req).await.map_err(|e| CallError::Unknown(error_chain(&e)))
     }
 
     /// Sends a request like [`HttpConnection::send`], and tells whether it was written.
     pub(crate) async fn try_send(
         &mut self,
-        req: Request<Full<Bytes>>,
+        mut req: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, SendError> {
+        self.interim_count.restart_for(&mut req);
         self.tx.try_send_request(req).await.map_err(|mut e| {
             // The request is returned only if it was not passed to the connection.
             let is_unsent = e.take_message().is_some();
@@ -259,6 +273,12 @@
     }
 }
 
+/// Returns whether a connection failed because of the bytes that were received.
+fn is_invalid_data(e: &hyper::Error) -> bool {
+    let source = std::error::Error::source(e).and_then(|e| e.downcast_ref::<io::Error>());
+    source.is_some_and(|e| e.kind() == io::ErrorKind::InvalidData)
+}
+
 /// Formats an error with its sources.
 pub(crate) fn error_chain(e: &dyn std::error::Error) -> String {
     let mut text = e.to_string();
--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -44,6 +44,8 @@
     RawBytes(Vec<u8>),
     /// Writes these bytes and keeps the connection open.
     RawBytesOpen(Vec<u8>),
+    /// Writes the first bytes, and then the second ones again and again until the connection is closed.
+    Endless(Vec<u8>, Vec<u8>),
     /// Runs it and crashes after a delay, even if the caller has disconnected: all connections break, and the engine
     /// stops listening.
     Crash(Duration),
@@ -148,6 +150,13 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Smallest size of a write of [`Plan::Endless`].
+const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
+
+/// Writes after which [`Plan::Endless`] stops all the same, so that a test whose receiver never closes the connection
+/// ends: 4 GB.
+const MAX_ENDLESS_BLOCKS: usize = 256 * 1024;
+
 type Planner = dyn Fn(&Arrival) -> Plan + Send + Sync;
 
 /// An engine that runs in this process. Clones share its state.
@@ -470,6 +479,13 @@
                 return Ok(false);
             }
             Plan::RawBytesOpen(bytes) => writer.write_all(&bytes)?,
+            Plan::Endless(first, rest) => {
+                writer.write_all(&first)?;
+                // Many repetitions in each write, as the receiver must be the slower side.
+                let block = rest.repeat(ENDLESS_BLOCK_BYTES.div_ceil(rest.len().max(1)));
+                (0..MAX_ENDLESS_BLOCKS).try_for_each(|_| writer.write_all(&block))?;
+                return Ok(false);
+            }
             Plan::Crash(pause) => {
                 std::thread::sleep(pause);
                 self.crash();
