fix(gateway): an event without end is given up, and the search for its end goes on where it stopped

What callers saw: a backend server answers a stream with one sound event and then with bytes that never end an event. The caller gets nothing more until its deadline, though the stream may be resumed elsewhere; a stream that may not be resumed is passed on as it comes. The gateway keeps all bytes of the event, and for each piece it searches all of them anew for the end.

Cause: a whole response has a limit, an event had none. The splitter kept no position of its search.

Change: an event may have as many bytes as a whole response that is buffered; a larger one counts as a stream that broke off, so that it is resumed elsewhere where that is allowed, and else cut. The splitter searches each byte once.

--- a/core/src/serving/events.rs
+++ b/core/src/serving/events.rs
@@ -35,13 +35,17 @@
 #[derive(Clone, Debug, Default)]
 pub struct EventSplitter {
     pending: Vec<u8>,
+    /// Bytes of `pending` that were searched for the end of a line.
+    searched: usize,
+    /// Start of the line in which the search goes on.
+    line_start: usize,
     last: Option<EventId>,
 }
 
 impl EventSplitter {
     /// Starts after the event `last`; events up to it are dropped if they are received again.
     pub fn after(last: Option<EventId>) -> Self {
-        Self { pending: Vec::new(), last }
+        Self { last, ..Self::default() }
     }
 
     /// Adds bytes, and returns the events that they complete.
@@ -57,9 +61,9 @@
         self.pending.extend_from_slice(bytes);
         let mut whole = WholeEvents::default();
         let mut from = 0;
-        while let Some(len) = event_len(&self.pending[from..]) {
-            let event = &self.pending[from..from + len];
-            from += len;
+        while let Some(end) = self.next_event_end() {
+            let event = &self.pending[from..end];
+            from = end;
             match event_id(event) {
                 Some(id) if self.last.is_some_and(|last| id <= last) => continue,
                 Some(id) => self.last = Some(id),
@@ -69,9 +73,28 @@
             whole.count += 1;
         }
         self.pending.drain(..from);
+        self.searched -= from;
+        self.line_start -= from;
         whole
     }
 
+    /// Returns the end of the next event in `pending`, including the empty line that ends it.
+    ///
+    /// The search goes on where the last one ended, so that the work for a byte does not grow with the bytes before it.
+    fn next_event_end(&mut self) -> Option<usize> {
+        while let Some(len) = self.pending[self.searched..].iter().position(|byte| *byte == b'\n') {
+            let line = &self.pending[self.line_start..self.searched + len];
+            let is_empty = line.strip_suffix(b"\r").unwrap_or(line).is_empty();
+            self.searched += len + 1;
+            self.line_start = self.searched;
+            if is_empty {
+                return Some(self.searched);
+            }
+        }
+        self.searched = self.pending.len();
+        None
+    }
+
     /// Returns the id of the last complete event.
     pub fn last(&self) -> Option<EventId> {
         self.last
@@ -82,30 +105,21 @@
         !self.pending.is_empty()
     }
 
+    /// Returns the size of the buffered partial event in bytes.
+    pub fn partial_len(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Discards the partial event of a server that failed.
     pub fn discard_partial(&mut self) {
-        self.pending.clear();
+        *self = Self::after(self.last);
     }
 
     /// Returns the buffered bytes, for a stream that ended without an empty line after its last
     /// event.
     pub fn take_partial(&mut self) -> Vec<u8> {
-        std::mem::take(&mut self.pending)
-    }
-}
-
-/// Returns the length of the first event, including the empty line that ends it.
-fn event_len(bytes: &[u8]) -> Option<usize> {
-    let mut line = 0;
-    for (i, byte) in bytes.iter().enumerate().filter(|(_, byte)| **byte == b'\n') {
-        debug_assert_eq!(*byte, b'\n');
-        let text = bytes[line..i].strip_suffix(b"\r").unwrap_or(&bytes[line..i]);
-        if text.is_empty() {
-            return Some(i + 1);
-        }
-        line = i + 1;
+        std::mem::replace(self, Self::after(self.last)).pending
     }
-    None
 }
 
 fn event_id(event: &[u8]) -> Option<EventId> {
--- a/core/tests/serving.rs
+++ b/core/tests/serving.rs
@@ -101,6 +101,23 @@
     });
 }
 
+/// Guards against an end of an event that is missed, or found twice, where the search for it is interrupted between pieces.
+#[test]
+fn events_are_the_same_in_any_pieces() {
+    bolero::check!().with_type::<Vec<Vec<u8>>>().for_each(|pieces| {
+        let as_text = |byte: &u8| b"\n\n\r\rid: 12"[usize::from(*byte) % 10];
+        let pieces: Vec<Vec<u8>> =
+            pieces.iter().map(|piece| piece.iter().map(as_text).collect()).collect();
+        let (mut whole, mut split) = (EventSplitter::after(None), EventSplitter::after(None));
+        let expected = whole.push(&pieces.concat());
+        let parts: Vec<_> = pieces.iter().map(|piece| split.push(piece)).collect();
+        let bytes: Vec<u8> = parts.iter().flat_map(|part| part.bytes.clone()).collect();
+        assert_eq!(bytes, expected.bytes);
+        assert_eq!(parts.iter().map(|part| part.count).sum::<usize>(), expected.count);
+        assert_eq!((split.last(), split.partial_len()), (whole.last(), whole.partial_len()));
+    });
+}
+
 /// No input makes the splitter panic or emit more bytes than it received.
 #[test]
 fn any_bytes_are_events_or_held_back() {
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -151,6 +151,10 @@
             if !bytes.is_empty() && self.tx.send(Ok(bytes)).await.is_err() {
                 return Ok(StreamEnd::CallerGone);
             }
+            let max = self.request.gw.settings.max_buffered_response_bytes;
+            if self.events.partial_len() > max {
+                return Err(format!("an event of more than {max} bytes"));
+            }
         }
     }
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -31,7 +31,7 @@
     /// Whether and how long idle connections to backend servers are kept.
     pub connection_reuse: ConnectionReusePolicy,
     /// Maximum size of a response that is buffered before it is forwarded, in bytes; the limit on request bodies applies if
-    /// it is larger.
+    /// it is larger. Also the maximum size of an event of a stream.
     pub max_buffered_response_bytes: usize,
     /// Policy of rollouts.
     pub canary: CanaryPolicy,
