fix(http): a response head without end is given up

What callers saw: nothing yet. A backend server or a store that answers a call of the product's own interface with a head that has no line break fills the memory of a side or an entry until the call times out, at the speed of the link.

Cause: async-h1 checks the size of a head at the end of each line. Connections of callers have a limit of their own for that; connections that the product opens had none.

Change: connections that are opened count the bytes before the end of a head as well. An interim response, which async-h1 returns like a final one, counts as an unknown answer.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::fmt;
 use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -12,6 +13,8 @@
 use smol::Timer;
 use smol::net::TcpStream;
 
+use crate::conn::Conn;
+
 /// Idle connections kept per server.
 const MAX_IDLE_PER_SERVER: usize = 64;
 
@@ -117,7 +120,21 @@
     timeout: Duration,
 ) -> Result<Response, CallError> {
     let stream = connect(addr, timeout).await?;
-    async_h1::connect(stream, req).await.map_err(|e| CallError::Unknown(e.to_string()))
+    receive_head(stream, req).await
+}
+
+/// Sends a request and returns the response with its body unread. Fails if its head is too large or it is an interim one.
+async fn receive_head(stream: TcpStream, req: Request) -> Result<Response, CallError> {
+    let conn = Conn { stream, state: Arc::default() };
+    let received = async_h1::connect(conn.clone(), req).await;
+    conn.state.is_head_read.store(true, Ordering::Relaxed);
+    match received {
+        // async-h1 does not wait for the response after an interim one.
+        Ok(res) if res.status().is_informational() => {
+            Err(CallError::Unknown(format!("interim response {}", u16::from(res.status()))))
+        }
+        received => received.map_err(|e| CallError::Unknown(e.to_string())),
+    }
 }
 
 /// A client that reuses idle connections.
@@ -219,9 +236,7 @@
     timeout: CallTimeout,
 ) -> Result<(BufferedResponse, bool), CallError> {
     let unknown = |e: String| CallError::Unknown(e);
-    let head_received =
-        async { async_h1::connect(stream, req).await.map_err(|e| unknown(e.to_string())) };
-    let mut res = head_received.or(timed_out(timeout.duration())).await?;
+    let mut res = receive_head(stream, req).or(timed_out(timeout.duration())).await?;
     let content_length =
         res.header(headers::CONTENT_LENGTH).and_then(|v| v.as_str().parse::<usize>().ok());
     let is_closing = res.header(headers::CONNECTION).is_some_and(|v| v.as_str() == "close");
--- a/http/src/conn.rs
+++ b/http/src/conn.rs
@@ -1,4 +1,4 @@
-//! A server's connection, with checks that async-h1 lacks: a limit on the bytes before a request,
+//! A connection, with checks that async-h1 lacks: a limit on the bytes before a request,
 //! and detection of a disconnected peer.
 
 use std::io;
@@ -11,10 +11,10 @@
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::net::TcpStream;
 
-/// Maximum number of bytes read before the end of a request's head.
+/// Maximum number of bytes read before the end of a head.
 ///
-/// async-h1 refuses heads over 8 KiB, but checks the size only at the end of a line: a head without
-/// a line break would grow in memory until the timeout.
+/// async-h1 checks the size of a head only at the end of a line: a head without a line break would grow in memory until
+/// the timeout.
 const MAX_HEAD_READ_BYTES: usize = 24 * 1024;
 
 /// Head size at which async-h1 refuses a request.
@@ -55,7 +55,7 @@
             n if bytes_before + n > MAX_HEAD_READ_BYTES => {
                 return Poll::Ready(Err(io::Error::new(
                     io::ErrorKind::InvalidData,
-                    "request head exceeds the size limit",
+                    "head exceeds the size limit",
                 )));
             }
             _ => {}
