fix(http): an answer without a length is not taken for an empty one

What callers saw: a plain service that answers without a length and ends the answer with its connection was called through a side with success, and its caller got an empty body.

Cause: async-h1 returns such a response at once and without its body. Found by a kind of the test of answers without end ("no length": 200 with an empty body), which now asks for an error there too.

Change: a response whose head does not tell where its body ends is an unknown answer, but for 204 and 304, which have no body. The body cannot be had from the library any more.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use futures_lite::{AsyncReadExt, FutureExt};
-use http_types::{Method, Request, Response, Url, headers};
+use http_types::{Method, Request, Response, StatusCode, Url, headers};
 use serde::de::DeserializeOwned;
 use smol::Timer;
 use smol::net::TcpStream;
@@ -123,7 +123,8 @@
     receive_head(stream, req).await
 }
 
-/// Sends a request and returns the response with its body unread. Fails if its head is too large or it is an interim one.
+/// Sends a request and returns the response with its body unread. Fails if the response is an interim one, its head is
+/// too large or its body has no known end.
 async fn receive_head(stream: TcpStream, req: Request) -> Result<Response, CallError> {
     let conn = Conn { stream, state: Arc::default() };
     let received = async_h1::connect(conn.clone(), req).await;
@@ -133,10 +134,21 @@
         Ok(res) if res.status().is_informational() => {
             Err(CallError::Unknown(format!("interim response {}", u16::from(res.status()))))
         }
+        // async-h1 returns such a response without its body.
+        Ok(res) if !is_body_delimited(&res) => {
+            Err(CallError::Unknown("answer without a length".to_owned()))
+        }
         received => received.map_err(|e| CallError::Unknown(e.to_string())),
     }
 }
 
+/// Returns whether the head of a response tells where its body ends, or that it has none.
+fn is_body_delimited(res: &Response) -> bool {
+    let has = |name| res.header(name).is_some();
+    let has_no_body = matches!(res.status(), StatusCode::NoContent | StatusCode::NotModified);
+    has_no_body || has(headers::CONTENT_LENGTH) || has(headers::TRANSFER_ENCODING)
+}
+
 /// A client that reuses idle connections.
 #[derive(Clone, Debug, Default)]
 pub struct Client {
--- a/http/tests/endless_answers.rs
+++ b/http/tests/endless_answers.rs
@@ -54,6 +54,7 @@
         ("empty lines", "", "\r\n"),
         ("interim responses", "", "HTTP/1.1 100 Continue\r\n\r\n"),
         ("length", "HTTP/1.1 200 OK\r\nContent-Length: 999999999999\r\n\r\n", "x"),
+        ("no length", "HTTP/1.1 200 OK\r\n\r\n", "x"),
         ("chunks", chunked, "4\r\nxxxx\r\n"),
         ("chunk size", chunked, "1"),
         ("trailers", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "T: x\r\n"),
