--- a/standins/src/platform/engine.rs
+++ b/standins/src/platform/engine.rs
@@ -46,6 +46,8 @@
     RawBytesOpen(Vec<u8>),
     /// Writes the first bytes, and then the second ones again and again until the connection is closed.
     Endless(Vec<u8>, Vec<u8>),
+    /// The same, but one byte of the second ones at a time, with pauses.
+    Trickle(Vec<u8>, Vec<u8>),
     /// Runs it and crashes after a delay, even if the caller has disconnected: all connections break, and the engine
     /// stops listening.
     Crash(Duration),
@@ -150,6 +152,12 @@
 
 const SECOND: Duration = Duration::from_secs(1);
 
+/// Pause before each byte of [`Plan::Trickle`].
+const TRICKLE_PAUSE: Duration = Duration::from_millis(20);
+
+/// Bytes after which [`Plan::Trickle`] stops all the same: a minute.
+const MAX_TRICKLE_BYTES: usize = 3_000;
+
 /// Smallest size of a write of [`Plan::Endless`].
 const ENDLESS_BLOCK_BYTES: usize = 16 * 1024;
 
@@ -486,6 +494,14 @@
                 (0..MAX_ENDLESS_BLOCKS).try_for_each(|_| writer.write_all(&block))?;
                 return Ok(false);
             }
+            Plan::Trickle(first, rest) => {
+                writer.write_all(&first)?;
+                for byte in rest.iter().cycle().take(MAX_TRICKLE_BYTES) {
+                    wait_unless_closed(out, TRICKLE_PAUSE)?;
+                    writer.write_all(&[*byte])?;
+                }
+                return Ok(false);
+            }
             Plan::Crash(pause) => {
                 std::thread::sleep(pause);
                 self.crash();
