--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -75,7 +75,7 @@
     /// Index of the model that answered last, and its confidence.
     pub(crate) last_confidence: Option<(usize, u8)>,
     pub(crate) time_to_first_byte: Option<Millis>,
-    /// Whether the caller gets the beginning of an answer already.
+    /// Whether the beginning of an answer was forwarded to the caller.
     pub(crate) is_answer_begun: bool,
     /// Events forwarded to the caller.
     pub(crate) event_count: usize,
--- a/http/tests/endless_answers.rs
+++ b/http/tests/endless_answers.rs
@@ -1,10 +1,13 @@
 //! Calls of a server whose answer never ends.
 
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::Duration;
 
+use common::serve_one;
 use redwingfold_http::{CallError, CallTimeout, Client, Method};
 
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -19,17 +22,8 @@
 /// Starts a server that answers one call with `first`, and then with `rest` again and again until the connection is
 /// closed. The receiver gets the number of bytes that it wrote.
 fn server(first: &'static str, rest: &'static str) -> (SocketAddr, Receiver<usize>) {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let addr = listener.local_addr().unwrap();
     let (tx, rx) = channel();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).unwrap();
-            head.extend(byte);
-        }
+    let addr = serve_one(move |mut stream| {
         let block = rest.repeat(16 * 1024 / rest.len());
         let mut written = 0;
         let mut is_open = stream.write_all(first.as_bytes()).is_ok();
--- a/http/tests/slow_answers.rs
+++ b/http/tests/slow_answers.rs
@@ -1,9 +1,12 @@
 //! Calls whose responses take longer than the idle timeout.
 
+mod common;
+
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use common::serve_one;
 use redwingfold_http::{CallError, CallTimeout, Client, Method};
 
 const MAX_BODY_BYTES: usize = 1024 * 1024;
@@ -13,16 +16,7 @@
 /// Starts a server that answers one call with `chunk_count` chunks of the `total_chunks` in `Content-Length`, with a
 /// pause before each, and then sends nothing until the client closes the connection.
 fn server(chunk_count: usize, total_chunks: usize, pause: Duration) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let addr = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).unwrap();
-            head.extend(byte);
-        }
+    serve_one(move |mut stream| {
         write!(stream, "HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", total_chunks * CHUNK.len())
             .unwrap();
         for _ in 0..chunk_count {
@@ -31,9 +25,8 @@
                 return;
             }
         }
-        stream.read_exact(&mut byte).ok();
-    });
-    addr
+        stream.read_exact(&mut [0]).ok();
+    })
 }
 
 fn read(addr: SocketAddr, timeout: CallTimeout) -> Result<usize, CallError> {
--- a/http/tests/unframed_answers.rs
+++ b/http/tests/unframed_answers.rs
@@ -1,26 +1,17 @@
 //! Calls of a server whose answer has neither a length nor chunks, and ends with its connection.
 
-use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
 use std::time::Duration;
 
+use common::serve_one;
 use redwingfold_http::{BufferedResponse, CallError, CallTimeout, Client, Method};
 
 /// Starts a server that answers one call with these bytes and closes the connection.
 fn server(answer: &'static str) -> SocketAddr {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let addr = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut head = Vec::new();
-        let mut byte = [0];
-        while !head.ends_with(b"\r\n\r\n") {
-            stream.read_exact(&mut byte).unwrap();
-            head.extend(byte);
-        }
-        stream.write_all(answer.as_bytes()).unwrap();
-    });
-    addr
+    serve_one(|mut stream| stream.write_all(answer.as_bytes()).unwrap())
 }
 
 fn call(answer: &'static str) -> Result<BufferedResponse, CallError> {
