--- a/standins/src/platform/fleet.rs
+++ b/standins/src/platform/fleet.rs
@@ -140,6 +140,8 @@
     pub ready: SocketAddr,
     /// Address of the metrics.
     pub metrics: SocketAddr,
+    /// Address for other gateways.
+    pub peers: SocketAddr,
     /// Path of the settings file.
     pub settings: PathBuf,
 }
@@ -165,6 +167,8 @@
     folder: PathBuf,
     /// `bounds` settings that differ from the defaults.
     pub bounds: Value,
+    /// `limits` settings that differ from the defaults.
+    pub limits: Value,
     /// Whether its gateways reuse idle connections to engines.
     pub connection_reuse: bool,
     /// Parts of the platform's rules that are in force, as in the settings files.
@@ -201,6 +205,7 @@
             program: Path::new(program).to_owned(),
             folder,
             bounds: json!({}),
+            limits: json!({}),
             connection_reuse: false,
             contracts: Vec::new(),
             is_first_start: false,
@@ -345,7 +350,7 @@
         let port = unused_port(&self.ports);
         self.ports.push(port);
         std::fs::write(&settings, self.settings_json(n, store, port)).expect("a settings file");
-        let gateway = self.launch(&settings);
+        let gateway = self.launch(&settings, port);
         self.gateways.push(gateway);
         n
     }
@@ -368,7 +373,7 @@
         let text = text.replace("\"bootstrap\":true", "\"bootstrap\":false");
         std::fs::write(&settings, text).expect("a settings file");
         self.earlier_lines.push((n, self.gateways[n].process.lines()));
-        self.gateways[n] = self.launch(&settings);
+        self.gateways[n] = self.launch(&settings, self.ports[n]);
     }
 
     /// Waits until a gateway is ready.
@@ -387,7 +392,7 @@
             "zones": self.regions,
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
             "port_range": [port, port],
-            "limits": {"memory_mb": 200, "max_fds": 2000},
+            "limits": merged(json!({"memory_mb": 200, "max_fds": 2000}), &self.limits),
             "bounds": merged(bounds, &self.bounds),
             "platform": {"address": store.to_string()},
             "connection_reuse": self.connection_reuse,
@@ -397,7 +402,7 @@
         .to_string()
     }
 
-    fn launch(&self, settings: &Path) -> Gateway {
+    fn launch(&self, settings: &Path, port: u16) -> Gateway {
         let path = settings.display().to_string();
         let args = ["--settings", path.as_str(), "--metrics-port", "0"];
         let process = Process::start("gateway", &self.program, &args).expect("a process");
@@ -411,6 +416,7 @@
             callers: addr("callers"),
             ready: addr("ready"),
             metrics: addr("metrics"),
+            peers: SocketAddr::from((self.ip, port)),
             settings: settings.to_owned(),
             process,
         }
