fix(gateway): bodies are reserved before they are received, and keep no read buffers

What callers saw: a gateway ran out of memory and ended while many callers sent bodies at once, most of which stopped short of their end; all other callers lost their answers.

Cause: bodies were counted only once they had been read whole, and those without an announced length not even then. The count was of lengths: each piece that the HTTP library returns is a slice of the buffer of 8 to 16 kB that it was read into and keeps all of it, so that a chunk of one byte took up a whole buffer. Ruled out: the limit of one body and the timeout hold (bodies over the limit are refused, 15 kB of memory each).

Change: one account for the memory of requests (core, without I/O; gateway/request_memory.rs). A request reserves 32 kB for itself, and its body as it grows, by capacity; the bytes are copied out of the read buffers. What does not fit is refused at once with 503 and a Retry-After. A quarter is for small requests, callers without a known customer have half at most. While others need memory, bodies that have stalled for a second give way, then those below 32 kB/s, then the newest of a customer that holds more than its part; nothing is given up while there is room. Each way out gives the memory back, as it belongs to a value that is dropped.

--- a/core/src/ids.rs
+++ b/core/src/ids.rs
@@ -143,6 +143,11 @@
     };
 }
 
+number_type!(
+    /// A size in bytes.
+    ByteCount(usize),
+    "a number of bytes"
+);
 number_type!(
     /// Identifies one run of a process; it changes at each restart.
     Incarnation(u64),
--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -40,8 +40,9 @@
 pub use detector::{FailureDetector, HeartbeatPolicy, PeerHealth};
 pub use error::{ErrorKind, ErrorRow, RunState};
 pub use ids::{
-    ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis, ModelName, Offset,
-    ParseIdError, PerMille, Region, RequestId, RequestRate, SessionId, VersionName,
+    ByteCount, ClaimId, CustomerName, FailureDomain, HostId, Incarnation, KeyHash, Millis,
+    ModelName, Offset, ParseIdError, PerMille, Region, RequestId, RequestRate, SessionId,
+    VersionName,
 };
 pub use label::{Labels, ParseSelectorError, Selector};
 pub use loads::{FenceRecord, LoadFold, LoadRecord};
@@ -57,18 +58,19 @@
     BaselineLatency, BrokenRun, CallLimits, Canary, CanaryPolicy, Capacity, CapacityLoans, Catalog,
     ColdLimit, ColdPolicy, ConfidenceGains, ConnectTimeout, ConnectionKey, ConnectionReusePolicy,
     CurrentSlowdown, Customer, CustomerShares, Demand, DomainRegions, EndedRun, EvacuationChange,
-    Evacuations, EventId, EventSplitter, ExposureBudget, Fault, FeedHistory, FeedPositions,
-    FeedUpdate, FeedUpdateOutcome, FeedView, Fingerprint, FleetEvidence, Headroom, HeadroomPolicy,
-    HeadroomPressure, HealthPolicy, Idempotency, IdleConnections, IdleTimeout, InterruptedRuns,
-    KeepAlive, KnownStatus, LargerModel, LatencySums, LeavingServers, LimitChange, LimitPolicy,
-    LoadSample, Mark, MarkChange, Members, MovedSessions, OrderAge, Part, PeerLoad, PeerLoads,
-    PeerServerList, Phase, Place, PlacementPolicy, PrefillRates, Pressure, Priority, PutOutcome,
-    Quarantine, QuarantinePolicy, QueueFull, Registry, RegistryPolicy, ReportNumbers,
-    RequestAdmission, ResendBudget, ResendReason, RetryAfterTimes, Return, ReturnCounts,
-    ReturnNotice, ReturnSchedule, RolloutOrder, RolloutStatuses, Route, RouteEvidence, RouteName,
-    Run, RunTimes, SendCounts, SendTurns, SentRequest, ServerFacts, ServerHealth, ServerLimits,
-    ServerReport, ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch,
-    SizePolicy, StartRate, StartTurn, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
+    Evacuations, EventId, EventSplitter, Evicted, Eviction, ExposureBudget, Fault, FeedHistory,
+    FeedPositions, FeedUpdate, FeedUpdateOutcome, FeedView, Fingerprint, FleetEvidence, Headroom,
+    HeadroomPolicy, HeadroomPressure, HealthPolicy, HolderNumber, Idempotency, IdleConnections,
+    IdleTimeout, InterruptedRuns, KeepAlive, KnownStatus, LargerModel, LatencySums, LeavingServers,
+    LimitChange, LimitPolicy, LoadSample, Mark, MarkChange, Members, MemoryFull, MemoryOwner,
+    MemoryPhase, MemoryPolicy, MovedSessions, OrderAge, Part, PeerLoad, PeerLoads, PeerServerList,
+    Phase, Place, PlacementPolicy, PrefillRates, Pressure, Priority, PutOutcome, Quarantine,
+    QuarantinePolicy, QueueFull, Registry, RegistryPolicy, ReportNumbers, RequestAdmission,
+    RequestMemory, ResendBudget, ResendReason, RetryAfterTimes, Return, ReturnCounts, ReturnNotice,
+    ReturnSchedule, RolloutOrder, RolloutStatuses, Route, RouteEvidence, RouteName, Run, RunTimes,
+    SendCounts, SendTurns, SentRequest, ServerFacts, ServerHealth, ServerLimits, ServerReport,
+    ServerState, Service, ServiceName, SessionKey, SilencePolicy, SilenceWatch, SizePolicy,
+    StartRate, StartTurn, StreamRules, StreamTimes, SuspectTrial, UnreachableServers,
     UrgencyPolicy, WaitQueue, Waiting, WholeEvents, Work, is_compacted_read_shorter,
     is_in_first_half, lead_servers, place, service_hash,
 };
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -30,6 +30,7 @@
 mod placement;
 mod quarantine;
 mod registry;
+mod request_memory;
 mod retry_after;
 mod returns;
 mod second_run;
@@ -85,6 +86,10 @@
 pub use registry::{
     BackendServer, PeerServerList, PutOutcome, Registry, RegistryPolicy, ServerState,
 };
+pub use request_memory::{
+    Evicted, Eviction, HolderNumber, MemoryFull, MemoryOwner, MemoryPhase, MemoryPolicy,
+    RequestMemory,
+};
 pub use retry_after::RetryAfterTimes;
 pub use returns::{Return, ReturnCounts, ReturnNotice, ReturnSchedule, service_hash};
 pub use second_run::SentRequest;
--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -14,14 +14,12 @@
 
 use crate::clock::{sleep, within};
 use crate::gateway::Gateway;
+use crate::log_rate::LogRate;
 use crate::metadata::ReportedLoad;
 
 /// Interval at which waiting requests are checked against the capacity. It is a seventh of the shortest latency targets.
 const DISPATCH_INTERVAL: Millis = Millis(20);
 
-/// Maximum number of log lines per second on waiting and refused requests.
-const MAX_LOG_LINES_PER_SECOND: u32 = 50;
-
 /// What admission needs to know about a request.
 #[derive(Clone, Debug)]
 pub(crate) struct AdmissionFacts {
@@ -105,7 +103,8 @@
     next_id: Cell<u64>,
     /// Notified when a waiting request was granted or refused.
     decided: Event,
-    log_lines: Cell<(Millis, u32)>,
+    /// Limits the log lines on waiting and refused requests.
+    log_rate: LogRate,
 }
 
 /// Removes a request from its queue when its caller is gone.
@@ -155,15 +154,6 @@
             None => f(queues.entry(service.clone()).or_default()),
         }
     }
-
-    /// Returns whether a further line may be logged in this second.
-    fn take_log_line(&self, now: Millis) -> bool {
-        let (since, count) = self.log_lines.get();
-        let is_new_second = now.since(since) >= Millis(1_000);
-        let count = if is_new_second { 0 } else { count };
-        self.log_lines.set((if is_new_second { now } else { since }, count + 1));
-        count < MAX_LOG_LINES_PER_SECOND
-    }
 }
 
 impl Gateway {
@@ -301,7 +291,7 @@
         );
         self.telemetry.count(&format!("admission.refused.{why}"), 1);
         self.telemetry.count("admission.promised", 1);
-        if self.admissions.take_log_line(now) {
+        if self.admissions.log_rate.take_line(now) {
             self.telemetry.info(
                 "admission_refused",
                 &[
@@ -329,7 +319,7 @@
     fn log_wait(&self, facts: &AdmissionFacts, began: Millis, ahead: usize) {
         let now = self.now();
         self.telemetry.count("admission.sent_after_wait", 1);
-        if self.admissions.take_log_line(now) {
+        if self.admissions.log_rate.take_line(now) {
             self.telemetry.info(
                 "admission_waited",
                 &[
--- a/gateway/src/fingerprint.rs
+++ b/gateway/src/fingerprint.rs
@@ -4,7 +4,7 @@
 
 use http::request::Parts;
 use redwingfold_core::{Customer, Fingerprint};
-use xxhash_rust::xxh3::Xxh3;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::metadata::PromptPart;
 
@@ -32,6 +32,11 @@
     Fingerprint::of_content(hash.digest())
 }
 
+/// Returns the hash that identifies a customer in messages between gateways; 0 for callers without one.
+pub(crate) fn customer_hash(customer: Option<&Customer>) -> u32 {
+    customer.map_or(0, |customer| xxh3_64(customer.name.as_str().as_bytes()) as u32)
+}
+
 /// Returns the fingerprints under which ends of servers are recorded for a request: that of its content, and those of the
 /// shared parts of its prompt.
 pub(crate) fn suspect_keys(content: Fingerprint, shared: &[PromptPart]) -> Rc<[Fingerprint]> {
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -26,6 +26,7 @@
 use crate::load::LoadTable;
 use crate::metadata::HeaderCodec;
 use crate::quarantine::TrialClaim;
+use crate::request_memory::MemoryAccount;
 use crate::rollouts::Rollouts;
 use crate::session_keepers::SessionKeepers;
 use crate::settings::GatewaySettings;
@@ -78,7 +79,7 @@
     pub(crate) loads: LoadTable,
     pub(crate) pool: ConnectionPool,
     pub(crate) connections: OpenConnections,
-    pub(crate) request_body_bytes: Cell<usize>,
+    pub(crate) memory: Rc<MemoryAccount>,
     pub(crate) in_flight: Cell<usize>,
     catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) registry: RefCell<Registry>,
@@ -160,6 +161,7 @@
     ) -> Self {
         let rollouts = Rollouts::new(settings.canary, settings.session_retention);
         let feeds = Feeds::new(settings.feeds);
+        let memory = Rc::new(MemoryAccount::new(settings.memory, telemetry.clone()));
         let connect_timeout = ConnectTimeout::new(settings.connect_timeout);
         let pool = ConnectionPool::new(settings.connection_reuse);
         // Many gateways detect the termination of a server at once. A random delay keeps their writes of marks from
@@ -178,7 +180,7 @@
             loads: LoadTable::default(),
             pool,
             connections: OpenConnections::default(),
-            request_body_bytes: Cell::new(0),
+            memory,
             in_flight: Cell::new(0),
             catalog: RefCell::new(None),
             registry: RefCell::new(Registry::new(RegistryPolicy::default())),
@@ -452,8 +454,9 @@
         self.connections.count()
     }
 
-    /// Updates the gauge of the processor time that this process has used.
-    pub fn update_processor_gauge(&self) {
+    /// Updates the gauges of what this process and its requests use.
+    pub fn update_resource_gauges(&self) {
+        self.memory.update_gauges();
         self.telemetry.gauge("process.cpu_ms", processor_time().0);
     }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -34,6 +34,7 @@
 mod interim_limit;
 mod limits;
 mod load;
+mod log_rate;
 mod loop_turn;
 mod metadata;
 mod model_choice;
@@ -44,7 +45,9 @@
 mod quarantine;
 mod relay;
 mod request;
+mod request_body;
 mod request_log;
+mod request_memory;
 mod response;
 #[cfg(test)]
 mod restored_rollouts_tests;
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -2,19 +2,20 @@
 
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
 use http::{HeaderMap, Request};
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use redwingfold_core::{CallLimits, Catalog, Customer, ErrorKind, Millis, Route};
+use hyper::body::Incoming;
+use redwingfold_core::{CallLimits, Catalog, Customer, ErrorKind, MemoryOwner, Millis, Route};
 
 use crate::clock::within;
-use crate::fingerprint::fingerprint;
+use crate::fingerprint::{customer_hash, fingerprint};
 use crate::gateway::{Gateway, Lifecycle};
 use crate::metadata::RequestMetadata;
 use crate::request::{InFlightRequest, RequestParts};
-use crate::response::{GatewayResponse, RequestError, error_response, set_connection_close};
+use crate::request_body::{full_error, receive_body};
+use crate::response::{
+    GatewayResponse, RequestError, error_response, random_retry_after, set_connection_close,
+};
 
 /// Assumed timeout of a caller whose request has none.
 const DEFAULT_TIMEOUT: Millis = Millis(10_000);
@@ -27,10 +28,6 @@
 /// should retry elsewhere.
 const MAX_CONFIG_WAIT: Millis = Millis(4_000);
 
-/// Minimum `Retry-After` of a rejected request. Up to as much again is added at random, so that callers do not all retry
-/// at once.
-const MIN_RETRY_AFTER: Millis = Millis(1_000);
-
 /// Processes a caller's request and returns the response, including errors.
 pub(crate) async fn handle_request(gw: Rc<Gateway>, req: Request<Incoming>) -> GatewayResponse {
     let answered = Box::pin(process_request(&gw, req)).await;
@@ -97,11 +94,12 @@
     req: Request<Incoming>,
     id: &mut String,
 ) -> Result<Admitted, RequestError> {
-    let (head, body) = req.into_parts();
+    let (head, mut body) = req.into_parts();
     let early_catalog = gw.catalog();
     let limits = early_catalog.as_ref().map_or_else(CallLimits::default, |c| c.limits);
     check_framing(&head.headers)?;
-    let body = read_body(gw, &limits, body).await?;
+    let memory = gw.memory.open(MemoryOwner::Unidentified).map_err(full_error)?;
+    let body = receive_body(&mut body, &limits, &memory).await?;
     let metadata = (gw.header_codec.decode_request)(&head.headers)
         .map_err(|why| RequestError::new(ErrorKind::BadRequest, why))?;
     id.clone_from(&metadata.id);
@@ -116,12 +114,14 @@
     })?;
     let customer = find_customer(&catalog, &route, &metadata)?;
     check_shutdown(gw, &route, &metadata)?;
+    memory.set_owner(memory_owner(&catalog, customer.as_ref())).map_err(full_error)?;
     let fingerprint = fingerprint(&head, host, customer.as_ref(), &body);
     let parts = RequestParts {
         method: head.method,
         uri: head.uri,
         headers: head.headers,
         body,
+        memory,
         fingerprint,
     };
     Ok((catalog, route, customer, metadata, parts))
@@ -146,11 +146,6 @@
     Err(RequestError { retry_after: Some(random_retry_after()), ..failed })
 }
 
-/// Returns a random `Retry-After`, which spreads the callers' retries.
-fn random_retry_after() -> Millis {
-    MIN_RETRY_AFTER.after(Millis(fastrand::u64(0..MIN_RETRY_AFTER.0)))
-}
-
 /// Returns the current configuration, waiting for the first one if necessary.
 ///
 /// When all processes are killed at once, callers retry before the restarted ones have read the store. Rejected
@@ -186,6 +181,14 @@
     found.cloned().map(Some).ok_or_else(none)
 }
 
+/// Returns who the memory of a request is counted for. Without customers in the configuration, all callers are one.
+fn memory_owner(catalog: &Catalog, customer: Option<&Customer>) -> MemoryOwner {
+    match customer {
+        None if catalog.has_customers() => MemoryOwner::Unidentified,
+        customer => MemoryOwner::Customer(customer_hash(customer)),
+    }
+}
+
 /// Rejects requests with ambiguous framing, which allow request smuggling.
 ///
 /// A request smuggled in the body of another one would run without a check of its API key. The HTTP parser rejects most
@@ -202,33 +205,3 @@
         _ => Ok(()),
     }
 }
-
-async fn read_body(
-    gw: &Gateway,
-    limits: &CallLimits,
-    body: Incoming,
-) -> Result<Bytes, RequestError> {
-    let too_large = || {
-        let why = format!("at most {} bytes", limits.body_bytes);
-        RequestError::new(ErrorKind::BodyTooLarge, why)
-    };
-    let announced = body.size_hint().lower() as usize;
-    match announced {
-        n if n > limits.body_bytes => return Err(too_large()),
-        n if gw.request_body_bytes.get() + n > gw.settings.max_request_body_bytes => {
-            return Err(RequestError::new(
-                ErrorKind::TooManyOpen,
-                "request bodies fill their memory",
-            ));
-        }
-        0 if body.is_end_stream() => return Ok(Bytes::new()),
-        _ => {}
-    }
-    let read = Limited::new(body, limits.body_bytes).collect();
-    match within(limits.idle_timeout, read).await {
-        None => Err(RequestError::new(ErrorKind::SlowSender, "the body took too long")),
-        Some(Ok(body)) => Ok(body.to_bytes()),
-        Some(Err(e)) if e.is::<LengthLimitError>() => Err(too_large()),
-        Some(Err(e)) => Err(RequestError::new(ErrorKind::BadRequest, format!("body: {e}"))),
-    }
-}
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -9,16 +9,16 @@
     Fingerprint, Millis, Priority, ResendReason, Route, RunState, SentRequest, ServiceName,
     VersionName, Work, is_in_first_half,
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::{AdmissionFacts, StartingRequest};
 use crate::attempt::{AttemptOutcome, BodyRead, ConnectionSource, UpstreamResponse};
 use crate::clock::within;
-use crate::fingerprint::suspect_keys;
+use crate::fingerprint::{customer_hash, suspect_keys};
 use crate::gateway::Gateway;
 use crate::load::id_hash;
 use crate::metadata::{RequestMetadata, RequestedModel};
 use crate::quarantine::Trial;
+use crate::request_memory::HeldMemory;
 use crate::response::{GatewayResponse, RequestError, forwarded_response, full_body};
 use crate::rollout_choice::BindingReason;
 use crate::rollouts::{AnswerSample, AnswerSignal, Rollouts};
@@ -49,6 +49,8 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    /// Memory that is reserved for it, until it ends.
+    _memory: HeldMemory,
     pub(crate) received_at: Millis,
     pub(crate) deadline: Millis,
     /// Index of the model in the route's `sizes`, ordered by size, if the gateway chooses the model.
@@ -93,6 +95,7 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: Bytes,
+    pub(crate) memory: HeldMemory,
     pub(crate) fingerprint: Fingerprint,
 }
 
@@ -116,7 +119,6 @@
         // the largest model kept the servers full for ten seconds.
         let size = is_chosen_here.then_some(0);
         gw.in_flight.set(gw.in_flight.get() + 1);
-        gw.request_body_bytes.set(gw.request_body_bytes.get() + parts.body.len());
         gw.count_request(&service);
         let suspect_keys = suspect_keys(parts.fingerprint, metadata.shared_parts());
         Self {
@@ -132,6 +134,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body: parts.body,
+            _memory: parts.memory,
             received_at,
             deadline,
             size,
@@ -324,17 +327,12 @@
         AdmissionFacts {
             request: self.metadata.id.clone(),
             service: self.service.clone(),
-            customer: self.customer_hash(),
+            customer: customer_hash(self.customer.as_ref()),
             content: self.fingerprint,
             demand,
         }
     }
 
-    /// Returns the hash that identifies the customer in messages between gateways.
-    pub(crate) fn customer_hash(&self) -> u32 {
-        self.customer.as_ref().map_or(0, |c| xxh3_64(c.name.as_str().as_bytes()) as u32)
-    }
-
     /// Returns the tokens that the request takes up in the memory of a server, without the shared part of its prompt.
     pub(crate) fn memory_tokens(&self) -> u64 {
         self.unshared_tokens().saturating_add(self.metadata.usage.max_output)
--- a/gateway/src/request_log.rs
+++ b/gateway/src/request_log.rs
@@ -2,6 +2,7 @@
 
 use crate::admission::EndedRequest;
 use crate::attempt::{AttemptOutcome, UpstreamResponse};
+use crate::fingerprint::customer_hash;
 use crate::request::{CALLER_GONE, InFlightRequest};
 use redwingfold_core::{Arm, BackendServer};
 use xxhash_rust::xxh3::xxh3_64;
@@ -113,12 +114,11 @@
         self.refresh_session();
         let gw = &self.gw;
         gw.in_flight.set(gw.in_flight.get().saturating_sub(1));
-        gw.request_body_bytes.set(gw.request_body_bytes.get().saturating_sub(self.body.len()));
         let took = gw.now().since(self.received_at);
         if let Some(admitted_at) = self.admitted_at.filter(|_| self.sends > 0) {
             gw.record_ended_request(&EndedRequest {
                 service: &self.service,
-                customer: self.customer_hash(),
+                customer: customer_hash(self.customer.as_ref()),
                 took: gw.now().since(admitted_at),
                 tokens: self.memory_tokens(),
             });
--- /dev/null
+++ b/gateway/src/request_memory.rs
@@ -0,0 +1,163 @@
+//! The memory that callers' requests hold: reserved before it is used, and given back when a request ends in any way.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use event_listener::Event;
+use redwingfold_core::{
+    Evicted, Eviction, HolderNumber, MemoryFull, MemoryOwner, MemoryPhase, MemoryPolicy,
+    RequestMemory,
+};
+use redwingfold_telemetry::Telemetry;
+
+use crate::clock::Clock;
+use crate::log_rate::LogRate;
+
+/// The account of all requests of a gateway.
+#[derive(Debug)]
+pub(crate) struct MemoryAccount {
+    memory: RefCell<RequestMemory>,
+    holders: RefCell<HashMap<HolderNumber, Rc<HolderState>>>,
+    telemetry: Telemetry,
+    log_rate: LogRate,
+}
+
+/// Whether a request has lost its memory.
+#[derive(Debug, Default)]
+struct HolderState {
+    eviction: Cell<Option<Eviction>>,
+    evicted: Event,
+}
+
+/// The memory of one request, until it is dropped.
+#[derive(Debug)]
+pub(crate) struct HeldMemory {
+    account: Rc<MemoryAccount>,
+    number: HolderNumber,
+    state: Rc<HolderState>,
+}
+
+impl MemoryAccount {
+    pub(crate) fn new(policy: MemoryPolicy, telemetry: Telemetry) -> Self {
+        Self {
+            memory: RefCell::new(RequestMemory::new(policy)),
+            holders: RefCell::default(),
+            telemetry,
+            log_rate: LogRate::default(),
+        }
+    }
+
+    /// Reserves memory for a request whose head was received.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryFull`] if there is none.
+    pub(crate) fn open(self: &Rc<Self>, owner: MemoryOwner) -> Result<HeldMemory, MemoryFull> {
+        let opened = self.memory.borrow_mut().open(owner, Clock.now());
+        let (number, evicted) = opened.inspect_err(|_| self.record_full("request", 0))?;
+        self.evict(evicted);
+        let state = Rc::new(HolderState::default());
+        self.holders.borrow_mut().insert(number, state.clone());
+        Ok(HeldMemory { account: self.clone(), number, state })
+    }
+
+    /// Updates the gauges of the memory in use.
+    pub(crate) fn update_gauges(&self) {
+        let memory = self.memory.borrow();
+        self.telemetry.gauge("memory.request_bytes", memory.in_use().0 as u64);
+        self.telemetry.gauge("memory.requests", memory.holders() as u64);
+    }
+
+    fn evict(&self, evicted: Evicted) {
+        for (number, why) in evicted {
+            self.telemetry.count(&format!("memory.evicted.{why}"), 1);
+            if self.log_rate.take_line(Clock.now()) {
+                let in_use = self.memory.borrow().in_use();
+                self.telemetry.info("memory_evicted", &[("why", &why), ("in_use", &in_use)]);
+            }
+            if let Some(state) = self.holders.borrow_mut().remove(&number) {
+                state.eviction.set(Some(why));
+                state.evicted.notify(usize::MAX);
+            }
+        }
+    }
+
+    fn record_full(&self, what: &str, bytes: usize) {
+        self.telemetry.count(&format!("memory.refused.{what}"), 1);
+        if self.log_rate.take_line(Clock.now()) {
+            let memory = self.memory.borrow();
+            self.telemetry.warn(
+                "memory_full",
+                &[
+                    ("for", &what),
+                    ("bytes", &bytes),
+                    ("in_use", &memory.in_use()),
+                    ("requests", &memory.holders()),
+                ],
+            );
+        }
+    }
+}
+
+impl HeldMemory {
+    /// Reserves `bytes` in all for the request's body and response.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryFull`] if there is not enough; the request keeps what it has.
+    pub(crate) fn resize(&self, bytes: usize) -> Result<(), MemoryFull> {
+        let resized = self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now());
+        let evicted = resized.inspect_err(|_| self.account.record_full("body", bytes))?;
+        self.account.evict(evicted);
+        Ok(())
+    }
+
+    /// Returns an error if the request could not get `bytes` now.
+    pub(crate) fn check_room(&self, bytes: usize) -> Result<(), MemoryFull> {
+        match self.account.memory.borrow().has_room(self.number, bytes, Clock.now()) {
+            true => Ok(()),
+            false => {
+                self.account.record_full("body", bytes);
+                Err(MemoryFull)
+            }
+        }
+    }
+
+    /// Records whom the request belongs to.
+    ///
+    /// # Errors
+    ///
+    /// [`MemoryFull`] if the owner may not have so much.
+    pub(crate) fn set_owner(&self, owner: MemoryOwner) -> Result<(), MemoryFull> {
+        self.account.memory.borrow_mut().set_owner(self.number, owner)
+    }
+
+    /// Records what the request does with its memory.
+    pub(crate) fn set_phase(&self, phase: MemoryPhase) {
+        self.account.memory.borrow_mut().set_phase(self.number, phase, Clock.now());
+    }
+
+    /// Records that bytes were received from the caller, or sent to it.
+    pub(crate) fn record_progress(&self, bytes: usize) {
+        self.account.memory.borrow_mut().record_progress(self.number, bytes, Clock.now());
+    }
+
+    /// Waits until the request has lost its memory, and returns why.
+    pub(crate) async fn wait_evicted(&self) -> Eviction {
+        loop {
+            let evicted = self.state.evicted.listen();
+            if let Some(why) = self.state.eviction.get() {
+                return why;
+            }
+            evicted.await;
+        }
+    }
+}
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.account.memory.borrow_mut().close(self.number);
+        self.account.holders.borrow_mut().remove(&self.number);
+    }
+}
--- a/gateway/src/response.rs
+++ b/gateway/src/response.rs
@@ -37,6 +37,15 @@
     }
 }
 
+/// Minimum `Retry-After` of a rejected request. Up to as much again is added at random, so that callers do not all retry
+/// at once.
+const MIN_RETRY_AFTER: Millis = Millis(1_000);
+
+/// Returns a random `Retry-After`, which spreads the callers' retries.
+pub(crate) fn random_retry_after() -> Millis {
+    MIN_RETRY_AFTER.after(Millis(fastrand::u64(0..MIN_RETRY_AFTER.0)))
+}
+
 /// Returns a body with the given bytes.
 pub(crate) fn full_body(bytes: impl Into<Bytes>) -> ResponseBody {
     Full::new(bytes.into()).map_err(|never| match never {}).boxed_unsync()
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -2,7 +2,8 @@
 
 use redwingfold_core::{
     AcceptPolicy, CanaryPolicy, ColdPolicy, ConnectionReusePolicy, HealthPolicy, LimitPolicy,
-    Millis, PlacementPolicy, QuarantinePolicy, SilencePolicy, SizePolicy, UrgencyPolicy,
+    MemoryPolicy, Millis, PlacementPolicy, QuarantinePolicy, SilencePolicy, SizePolicy,
+    UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -14,8 +15,8 @@
     pub max_connections: usize,
     /// Policy for closing new connections that would wait too long.
     pub accept: AcceptPolicy,
-    /// Maximum total size of request bodies in memory, in bytes.
-    pub max_request_body_bytes: usize,
+    /// Policy for the memory of requests.
+    pub memory: MemoryPolicy,
     /// Maximum ratio of retries to requests.
     pub retry_ratio: f64,
     /// Maximum ratio of retries to requests up to which retries may be used for larger models.
@@ -74,7 +75,7 @@
         Self {
             max_connections: 1_500,
             accept: AcceptPolicy::default(),
-            max_request_body_bytes: 16 * 1024 * 1024,
+            memory: MemoryPolicy::default(),
             retry_ratio: 0.8,
             larger_model_ratio: 0.6,
             retry_reserve: 2.0,
