fix(gateway): bodies are held once, in segments, also while they are sent to a server

What callers saw: nothing of their own; a gateway took more than twice the memory that it had reserved for their requests, so that a bound on what is reserved did not bound what is taken.

Cause: the HTTP library copies the body of a request into its write buffer, unless the stream takes several buffers at once, and the wrapper in use does not.

Change: a stream of our own for the library (hyper_io.rs) writes vectored and reads 6 kB at a time, so that its read buffers do not grow with the speed of a sender; bodies are received into segments of 8 kB (segments.rs), each reserved before it is allocated, shared by all attempts and sent one after the other.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,7 +7,7 @@
 use http::Request;
 use http::header::CONTENT_ENCODING;
 use http_body::Body;
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use redwingfold_core::{
     Awaited, BackendServer, EventId, KeepAlive, Millis, ResendReason, SilenceWatch,
@@ -19,6 +19,7 @@
 use crate::load::InFlightGuard;
 use crate::metadata::{AttemptMetadata, ReportedLoad, ResponseMetadata};
 use crate::request::InFlightRequest;
+use crate::segments::SegmentedBody;
 use crate::upstream::{HttpConnection, SendError, error_chain};
 
 /// Interval of the checks whether a server that owes a response is silent.
@@ -269,7 +270,7 @@
         server: &BackendServer,
         time_left: Millis,
         resume_after: Option<EventId>,
-    ) -> Request<Full<Bytes>> {
+    ) -> Request<SegmentedBody> {
         let attempt = AttemptMetadata {
             server: server.id.clone(),
             time_left,
@@ -278,7 +279,7 @@
             priority: self.priority(resume_after.is_some() && self.metadata.resume_after.is_none()),
             resume_after,
         };
-        let mut req = Request::new(Full::new(self.body.clone()));
+        let mut req = Request::new(self.body.clone().into());
         *req.method_mut() = self.method.clone();
         *req.uri_mut() = self.uri.clone();
         *req.headers_mut() = self.headers.clone();
--- a/gateway/src/connection_pool_tests.rs
+++ b/gateway/src/connection_pool_tests.rs
@@ -3,9 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use bytes::Bytes;
 use http::{HeaderMap, Request, Response, StatusCode, Version};
-use http_body_util::Full;
 use redwingfold_core::{
     BackendServer, ConnectionReusePolicy, Fault, Incarnation, KeepAlive, Millis, ServerState,
 };
@@ -16,6 +14,7 @@
 use crate::connection_pool::reusable_for;
 use crate::gateway::{Gateway, StoreCopy};
 use crate::metadata::{AttemptMetadata, HeaderCodec, RequestMetadata, ResponseMetadata};
+use crate::segments::SegmentedBody;
 use crate::settings::GatewaySettings;
 use crate::upstream::{HttpConnection, SendError};
 
@@ -65,7 +64,7 @@
         assert!(connection.ready().await);
         drop(accepted);
         assert!(connection.is_ready(), "the closed connection has not been noticed");
-        let sent = connection.try_send(Request::new(Full::<Bytes>::default())).await;
+        let sent = connection.try_send(Request::new(SegmentedBody::default())).await;
         assert!(matches!(sent, Err(SendError::NotWritten(_))), "{sent:?}");
     }));
 }
--- a/gateway/src/exchange/fetch.rs
+++ b/gateway/src/exchange/fetch.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::{Request, StatusCode};
-use http_body_util::Full;
 use redwingfold_core::Millis;
 
 use super::marks::{self, FetchedMarks};
@@ -16,6 +15,7 @@
 use crate::clock::{sleep, within};
 use crate::feeds::Feed;
 use crate::gateway::Gateway;
+use crate::segments::SegmentedBody;
 use crate::upstream::HttpConnection;
 
 /// Longest wait for data from the other gateway. Encoding a reply takes about 10 ms of a whole core, and ten times as
@@ -209,7 +209,7 @@
     let connected = HttpConnection::connect(&gw.executor, peer, gw.settings.connect_timeout).await;
     let mut connection = connected.map_err(|e| e.to_string())?;
     let req = Request::get(target).header("host", peer.to_string());
-    let req = req.body(Full::default()).map_err(|e| e.to_string())?;
+    let req = req.body(SegmentedBody::default()).map_err(|e| e.to_string())?;
     let mut response =
         connection.send_and_read(req, max, IDLE_TIMEOUT).await.map_err(|e| e.to_string())?;
     let body = response.read_to_end().await.map_err(|e| e.to_string())?;
--- a/gateway/src/fingerprint.rs
+++ b/gateway/src/fingerprint.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 use crate::metadata::PromptPart;
+use crate::segments::WholeBody;
 
 /// Maximum number of shared prompt parts of a request for which ends of servers are recorded. Without a limit, a few
 /// requests with very many parts could fill the table of suspects.
@@ -18,7 +19,7 @@
     head: &Parts,
     host: &str,
     customer: Option<&Customer>,
-    body: &[u8],
+    body: &WholeBody,
 ) -> Fingerprint {
     let target = head.uri.path_and_query().map_or("", |target| target.as_str());
     let customer = customer.map_or("", |customer| customer.name.as_str());
@@ -28,7 +29,7 @@
         hash.update(&(part.len() as u64).to_be_bytes());
         hash.update(part.as_bytes());
     }
-    hash.update(body);
+    body.segments().for_each(|segment| hash.update(segment));
     Fingerprint::of_content(hash.digest())
 }
 
--- a/gateway/src/header_timer.rs
+++ b/gateway/src/header_timer.rs
@@ -1,6 +1,6 @@
 //! Timeout for receiving the head of a request.
 
-use std::io;
+use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -100,6 +100,14 @@
         Pin::new(&mut self.inner).poll_write(cx, buf)
     }
 
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.inner).poll_write_vectored(cx, bufs)
+    }
+
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
         Pin::new(&mut self.inner).poll_flush(cx)
     }
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -22,6 +22,7 @@
 use crate::response::{GatewayResponse, RequestError, forwarded_response, full_body};
 use crate::rollout_choice::BindingReason;
 use crate::rollouts::{AnswerSample, AnswerSignal, Rollouts};
+use crate::segments::WholeBody;
 use crate::session_keepers::KeepersReply;
 
 /// Failed connection attempts after which a request fails.
@@ -48,7 +49,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: WholeBody,
     /// Memory that is reserved for it, until it ends.
     _memory: HeldMemory,
     pub(crate) received_at: Millis,
@@ -94,7 +95,7 @@
     pub(crate) method: Method,
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
-    pub(crate) body: Bytes,
+    pub(crate) body: WholeBody,
     pub(crate) memory: HeldMemory,
     pub(crate) fingerprint: Fingerprint,
 }
--- a/gateway/src/request_body.rs
+++ b/gateway/src/request_body.rs
@@ -1,6 +1,5 @@
 //! Bodies of callers' requests.
 
-use bytes::Bytes;
 use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use redwingfold_core::{CallLimits, ErrorKind, Eviction, MemoryFull, MemoryPhase};
@@ -8,6 +7,7 @@
 use crate::clock::within;
 use crate::request_memory::HeldMemory;
 use crate::response::{RequestError, random_retry_after};
+use crate::segments::{GrowingBody, WholeBody};
 
 /// Receives the whole body of a request, each byte of which is reserved before it is kept.
 ///
@@ -17,25 +17,21 @@
     body: &mut Incoming,
     limits: &CallLimits,
     memory: &HeldMemory,
-) -> Result<Bytes, RequestError> {
+) -> Result<WholeBody, RequestError> {
     let announced = body.size_hint().exact().map(|len| len as usize);
     if announced.is_some_and(|len| len > limits.body_bytes) {
         return Err(too_large(limits));
     }
-    if body.is_end_stream() {
-        memory.set_phase(MemoryPhase::Working);
-        return Ok(Bytes::new());
-    }
-    memory.check_room(announced.unwrap_or(0)).map_err(full_error)?;
     let received = async {
+        memory.check_room(announced.unwrap_or(0)).map_err(full_error)?;
         let slow = || RequestError::new(ErrorKind::SlowSender, "the body took too long");
         let collected = collect(body, announced, limits, memory);
         within(limits.idle_timeout, collected).await.unwrap_or_else(|| Err(slow()))
     };
     let evicted = async { Err(eviction_error(memory.wait_evicted().await)) };
-    let bytes = smol::future::or(evicted, received).await?;
+    let body = smol::future::or(evicted, received).await?;
     memory.set_phase(MemoryPhase::Working);
-    Ok(bytes)
+    Ok(body)
 }
 
 async fn collect(
@@ -43,30 +39,19 @@
     announced: Option<usize>,
     limits: &CallLimits,
     memory: &HeldMemory,
-) -> Result<Bytes, RequestError> {
-    let longest = announced.unwrap_or(limits.body_bytes);
-    let mut bytes = Vec::new();
+) -> Result<WholeBody, RequestError> {
+    let mut received = GrowingBody::new(announced);
     while let Some(frame) = body.frame().await {
-        let frame =
-            frame.map_err(|e| RequestError::new(ErrorKind::BadRequest, format!("body: {e}")))?;
+        let broken = |e| RequestError::new(ErrorKind::BadRequest, format!("body: {e}"));
         // Trailers are not forwarded.
-        let Ok(data) = frame.into_data() else { continue };
-        let len = bytes.len() + data.len();
-        if len > limits.body_bytes {
+        let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
+        if received.len() + data.len() > limits.body_bytes {
             return Err(too_large(limits));
         }
-        if len > bytes.capacity() {
-            // Capacity that doubles keeps the number of copies low.
-            let capacity = len.max((2 * bytes.capacity()).min(longest));
-            memory.resize(capacity).map_err(full_error)?;
-            bytes.reserve_exact(capacity - bytes.len());
-        }
-        bytes.extend_from_slice(&data);
+        received.push(&data, |bytes| memory.resize(bytes)).map_err(full_error)?;
         memory.record_progress(data.len());
     }
-    let bytes = Bytes::from(bytes.into_boxed_slice());
-    memory.resize(bytes.len()).map_err(full_error)?;
-    Ok(bytes)
+    Ok(received.finish())
 }
 
 /// Returns the error of a request for which there is no memory.
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -13,12 +13,13 @@
 use redwingfold_core::{CallLimits, Millis};
 use smol::Async;
 use smol::net::{TcpListener, TcpStream};
-use smol_hyper::rt::{FuturesIo, SmolTimer};
+use smol_hyper::rt::SmolTimer;
 
 use crate::accept::{ACCEPT_RETRY_DELAY, NewConnection, NewConnections};
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Lifecycle};
 use crate::header_timer::HeaderTimer;
+use crate::hyper_io::HyperIo;
 use crate::net::set_socket_options;
 use crate::pipeline::handle_request;
 use crate::response::{GatewayResponse, text_response};
@@ -85,7 +86,7 @@
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(idle.0))
         .max_buf_size(limits.head_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(FuturesIo::new(timer.wrap_stream(stream)), service);
+        .serve_connection(HyperIo(timer.wrap_stream(stream)), service);
     let mut conn = pin!(conn);
     let shutdown = async {
         // A connection accepted during shutdown has no keep-alive, and stays open for its only request.
@@ -151,7 +152,7 @@
                 let res = page(req.uri()).unwrap_or_else(not_found);
                 std::future::ready(Ok::<_, Infallible>(res))
             });
-            let conn = http1::Builder::new().serve_connection(FuturesIo::new(stream), service);
+            let conn = http1::Builder::new().serve_connection(HyperIo(stream), service);
             // An error needs no handling here, as the client notices that its request failed.
             conn.await.ok();
             drop(open_guard);
--- a/gateway/src/upstream.rs
+++ b/gateway/src/upstream.rs
@@ -7,16 +7,17 @@
 
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, Request, Response, StatusCode, response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::{Body, Incoming};
 use hyper::client::conn::http1::{self, SendRequest};
 use redwingfold_core::Millis;
 use smol::{LocalExecutor, Task};
-use smol_hyper::rt::FuturesIo;
 
 use crate::clock::{Clock, within};
+use crate::hyper_io::HyperIo;
 use crate::interim_limit::{InterimCount, InterimLimit};
 use crate::net::connect;
+use crate::segments::SegmentedBody;
 
 /// Largest head of a response.
 const MAX_RESPONSE_HEAD_BYTES: usize = 64 * 1024;
@@ -82,7 +83,7 @@
 /// A connection to a server. Dropping it closes it, which makes the server stop working on its request.
 #[derive(Debug)]
 pub struct HttpConnection {
-    tx: SendRequest<Full<Bytes>>,
+    tx: SendRequest<SegmentedBody>,
     interim_count: InterimCount,
     /// Task that drives the connection; dropping it closes the connection.
     _conn: Task<()>,
@@ -104,7 +105,7 @@
         let stream = InterimLimit { stream, count: interim_count.clone() };
         let made = http1::Builder::new()
             .max_buf_size(MAX_RESPONSE_HEAD_BYTES)
-            .handshake(FuturesIo::new(stream))
+            .handshake(HyperIo(stream))
             .await;
         let (tx, conn) = made.map_err(|e| CallError::Unreachable(io::Error::other(e)))?;
         let driven = async move {
@@ -121,7 +122,7 @@
     /// [`CallError::Unknown`]: the server may have received it.
     pub async fn send(
         &mut self,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, CallError> {
         self.interim_count.restart_for(&mut req);
         self.tx.send_request(req).await.map_err(|e| CallError::Unknown(error_chain(&e)))
@@ -130,7 +131,7 @@
     /// Sends a request like [`HttpConnection::send`], and tells whether it was written.
     pub(crate) async fn try_send(
         &mut self,
-        mut req: Request<Full<Bytes>>,
+        mut req: Request<SegmentedBody>,
     ) -> Result<Response<Incoming>, SendError> {
         self.interim_count.restart_for(&mut req);
         self.tx.try_send_request(req).await.map_err(|mut e| {
@@ -160,7 +161,7 @@
     /// server may have received the request.
     pub async fn send_and_read(
         &mut self,
-        req: Request<Full<Bytes>>,
+        req: Request<SegmentedBody>,
         max: usize,
         idle_timeout: Millis,
     ) -> Result<ResponseReader, CallError> {
