test(crowds): a refused caller sees the end of its connection before it sends on

The check wrote on right after the refusal, so that it passed or failed with the moment at which the gateway closed its socket: it passed once a caller without a key was refused at its head. It now waits until the gateway has closed its half in order, which a reset fails, and only then writes.

--- a/standins/src/platform/caller.rs
+++ b/standins/src/platform/caller.rs
@@ -82,6 +82,18 @@
         buf[..n].to_vec()
     }
 
+    /// Waits until the peer closes its half of the connection in order.
+    ///
+    /// # Errors
+    ///
+    /// If bytes arrive, the connection is reset or the read times out instead.
+    pub fn wait_end(&mut self) -> io::Result<()> {
+        match self.stream.read(&mut [0])? {
+            0 => Ok(()),
+            _ => Err(io::ErrorKind::InvalidData.into()),
+        }
+    }
+
     /// Waits until the peer closes the connection; returns `false` if bytes arrive or the read times out instead.
     pub fn wait_closed(&mut self) -> bool {
         match self.stream.read(&mut [0]) {
