fix(gateway): route, key and shutdown are checked before the body is received

What callers saw: callers without a valid key could send bodies of any legal size, took the memory for requests with them, and were refused only once the body had ended, or after the idle timeout.

Cause: the body was read before the head was looked at, as the configuration is fetched after it, so that a slow request is not served by an outdated one.

Change: route, key and shutdown are checked at the head, and again after the body, by the configuration then in force. Without a configuration yet, the body is received in the part of callers that are not identified. What has arrived of the body of a refused request is discarded; if the rest is still to come, the response closes the connection.

--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use http::header::{CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::request::Parts;
 use http::{HeaderMap, Request};
 use hyper::body::Incoming;
 use redwingfold_core::{CallLimits, Catalog, Customer, ErrorKind, MemoryOwner, Millis, Route};
@@ -12,7 +13,7 @@
 use crate::gateway::{Gateway, Lifecycle};
 use crate::metadata::RequestMetadata;
 use crate::request::{InFlightRequest, RequestParts};
-use crate::request_body::{full_error, receive_body};
+use crate::request_body::{discard_received, full_error, receive_body};
 use crate::response::{
     GatewayResponse, RequestError, error_response, random_retry_after, set_connection_close,
 };
@@ -30,12 +31,14 @@
 
 /// Processes a caller's request and returns the response, including errors.
 pub(crate) async fn handle_request(gw: Rc<Gateway>, req: Request<Incoming>) -> GatewayResponse {
-    let answered = Box::pin(process_request(&gw, req)).await;
+    let (head, mut body) = req.into_parts();
+    let answered = Box::pin(process_request(&gw, head, &mut body)).await;
     let mut res = match answered {
         Ok(res) => res,
         Err(failed) => {
             let mut res = error_response(&failed);
-            if matches!(failed.kind, ErrorKind::BadRequest | ErrorKind::BodyTooLarge) {
+            let is_body_read = discard_received(&mut body).await;
+            if failed.kind == ErrorKind::BadRequest || !is_body_read {
                 set_connection_close(&mut res);
             }
             res
@@ -49,11 +52,12 @@
 
 async fn process_request(
     gw: &Rc<Gateway>,
-    req: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
 ) -> Result<GatewayResponse, RequestError> {
     let received_at = gw.now();
     let mut id = String::new();
-    let (catalog, route, customer, metadata, parts) = match admit(gw, req, &mut id).await {
+    let (catalog, route, customer, metadata, parts) = match admit(gw, head, body, &mut id).await {
         Ok(admitted) => admitted,
         Err(failed) => {
             gw.telemetry.count("request.refused", 1);
@@ -87,35 +91,34 @@
 
 type Admitted = (Rc<Catalog>, Rc<Route>, Option<Customer>, RequestMetadata, RequestParts);
 
-/// Reads a request and checks that it is valid and allowed. Sets `id` as soon as the request's id is decoded, so that
-/// rejections are logged with it.
+/// Reads a request and checks that it is valid and allowed, as far as possible before its body is received. Sets `id` as
+/// soon as the request's id is decoded, so that rejections are logged with it.
 async fn admit(
     gw: &Rc<Gateway>,
-    req: Request<Incoming>,
+    head: Parts,
+    body: &mut Incoming,
     id: &mut String,
 ) -> Result<Admitted, RequestError> {
-    let (head, mut body) = req.into_parts();
-    let early_catalog = gw.catalog();
-    let limits = early_catalog.as_ref().map_or_else(CallLimits::default, |c| c.limits);
     check_framing(&head.headers)?;
-    let memory = gw.memory.open(MemoryOwner::Unidentified).map_err(full_error)?;
-    let body = receive_body(&mut body, &limits, &memory).await?;
     let metadata = (gw.header_codec.decode_request)(&head.headers)
         .map_err(|why| RequestError::new(ErrorKind::BadRequest, why))?;
     id.clone_from(&metadata.id);
+    let (limits, owner) = match gw.catalog() {
+        None => (CallLimits::default(), MemoryOwner::Unidentified),
+        Some(catalog) => {
+            let (route, customer) = authorize(&catalog, &head, &metadata)?;
+            check_shutdown(gw, &route, &metadata)?;
+            (catalog.limits, memory_owner(&catalog, customer.as_ref()))
+        }
+    };
+    let memory = gw.memory.open(owner).map_err(full_error)?;
+    let body = receive_body(body, &limits, &memory).await?;
     // Fetched again after the body, so that a slowly sent request is not processed with an outdated configuration.
     let catalog = wait_for_catalog(gw, &metadata).await?;
-    let host = head.headers.get(HOST).and_then(|v| v.to_str().ok());
-    let host = host.or(head.uri.host()).unwrap_or_default();
-    let path = head.uri.path();
-    let route = catalog.route(host, path).cloned().ok_or_else(|| {
-        let why = format!("no route for {host}{path} in version {}", catalog.version);
-        RequestError::new(ErrorKind::UnknownPath, why)
-    })?;
-    let customer = find_customer(&catalog, &route, &metadata)?;
+    let (route, customer) = authorize(&catalog, &head, &metadata)?;
     check_shutdown(gw, &route, &metadata)?;
     memory.set_owner(memory_owner(&catalog, customer.as_ref())).map_err(full_error)?;
-    let fingerprint = fingerprint(&head, host, customer.as_ref(), &body);
+    let fingerprint = fingerprint(&head, host(&head), customer.as_ref(), &body);
     let parts = RequestParts {
         method: head.method,
         uri: head.uri,
@@ -127,6 +130,27 @@
     Ok((catalog, route, customer, metadata, parts))
 }
 
+/// Returns the host that a request is for; empty if it names none.
+fn host(head: &Parts) -> &str {
+    let host = head.headers.get(HOST).and_then(|v| v.to_str().ok());
+    host.or(head.uri.host()).unwrap_or_default()
+}
+
+/// Returns the route and the customer of a request.
+fn authorize(
+    catalog: &Catalog,
+    head: &Parts,
+    metadata: &RequestMetadata,
+) -> Result<(Rc<Route>, Option<Customer>), RequestError> {
+    let (host, path) = (host(head), head.uri.path());
+    let route = catalog.route(host, path).cloned().ok_or_else(|| {
+        let why = format!("no route for {host}{path} in version {}", catalog.version);
+        RequestError::new(ErrorKind::UnknownPath, why)
+    })?;
+    let customer = find_customer(catalog, &route, metadata)?;
+    Ok((route, customer))
+}
+
 /// Rejects requests that might still run when this process exits.
 ///
 /// During a rolling restart that is faster than the shutdown of each gateway, callers may reach only gateways that are
--- a/gateway/src/request_body.rs
+++ b/gateway/src/request_body.rs
@@ -54,6 +54,19 @@
     Ok(received.finish())
 }
 
+/// Discards what has already arrived of the body of a refused request. Returns whether that is all of it, so that the
+/// connection can be used for another request.
+pub(crate) async fn discard_received(body: &mut Incoming) -> bool {
+    loop {
+        match smol::future::poll_once(body.frame()).await {
+            None => return body.is_end_stream(),
+            Some(None) => return true,
+            Some(Some(Err(_))) => return false,
+            Some(Some(Ok(_))) => {}
+        }
+    }
+}
+
 /// Returns the error of a request for which there is no memory.
 pub(crate) fn full_error(_: MemoryFull) -> RequestError {
     let why = "requests take up the memory for them";
