fix(gateway): a refusal arrives at a caller that is still sending

What callers saw: a reset in place of the status of their refusal, or after it, if their body was still on its way: 413 for a body that announces too much, 401 without a key.

Cause: the gateway closed the socket after its response with bytes unread in it, which makes the kernel reset the connection; a reset may discard what the caller has not read yet, and fails its next write.

Change: after the refusal of a request whose body is not read to its end, and after a head that cannot be parsed, the gateway closes its half and discards what still comes, for a second at most. Ruled out: reading the body to its end first, as it may be without end, and the refusal would wait for it.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission_tests;
 mod attempt;
 mod availability;
+mod caller_connection;
 mod capacity_loans;
 #[cfg(test)]
 mod capacity_loans_tests;
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use redwingfold_core::Millis;
+use smol::io::AsyncReadExt;
 use smol::net::{TcpListener, TcpStream};
 use socket2::{SockRef, TcpKeepalive};
 
@@ -19,6 +20,12 @@
 /// Interval of keepalive probes.
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
 
+/// Longest time for which a caller's bytes are discarded after the last response on its connection.
+const LINGER_TIMEOUT: Millis = Millis(1_000);
+
+/// Number of bytes discarded at once.
+const DISCARD_BYTES: usize = 4 * 1024;
+
 /// Sets the timeouts of a connection and disables Nagle's algorithm.
 ///
 /// A middlebox may drop a connection's state, or a host may lose power, without any notice to the other end. A request
@@ -39,6 +46,18 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
+/// Discards what the peer still sends, until it closes the connection or [`LINGER_TIMEOUT`] has passed.
+///
+/// A socket that is closed with unread bytes resets its connection, and a peer that gets a reset may lose what it has not
+/// read yet: a caller that was still sending a refused body would not learn why.
+pub(crate) async fn discard_rest(mut stream: TcpStream) {
+    let discarded = async {
+        let mut buf = [0; DISCARD_BYTES];
+        while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {}
+    };
+    within(LINGER_TIMEOUT, discarded).await;
+}
+
 /// Connects to an address within `limit`.
 ///
 /// # Errors
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -8,6 +8,7 @@
 use hyper::body::Incoming;
 use redwingfold_core::{CallLimits, Catalog, Customer, ErrorKind, MemoryOwner, Millis, Route};
 
+use crate::caller_connection::CallerConnection;
 use crate::clock::within;
 use crate::fingerprint::{customer_hash, fingerprint};
 use crate::gateway::{Gateway, Lifecycle};
@@ -30,7 +31,11 @@
 const MAX_CONFIG_WAIT: Millis = Millis(4_000);
 
 /// Processes a caller's request and returns the response, including errors.
-pub(crate) async fn handle_request(gw: Rc<Gateway>, req: Request<Incoming>) -> GatewayResponse {
+pub(crate) async fn handle_request(
+    gw: Rc<Gateway>,
+    connection: &CallerConnection,
+    req: Request<Incoming>,
+) -> GatewayResponse {
     let (head, mut body) = req.into_parts();
     let answered = Box::pin(process_request(&gw, head, &mut body)).await;
     let mut res = match answered {
@@ -38,6 +43,9 @@
         Err(failed) => {
             let mut res = error_response(&failed);
             let is_body_read = discard_received(&mut body).await;
+            if !is_body_read {
+                connection.record_unread_body();
+            }
             if failed.kind == ErrorKind::BadRequest || !is_body_read {
                 set_connection_close(&mut res);
             }
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -16,11 +16,12 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::accept::{ACCEPT_RETRY_DELAY, NewConnection, NewConnections};
+use crate::caller_connection::CallerConnection;
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Lifecycle};
 use crate::header_timer::HeaderTimer;
 use crate::hyper_io::HyperIo;
-use crate::net::set_socket_options;
+use crate::net::{discard_rest, set_socket_options};
 use crate::pipeline::handle_request;
 use crate::response::{GatewayResponse, text_response};
 
@@ -72,11 +73,13 @@
     let limits = gw.catalog().map_or_else(CallLimits::default, |c| c.limits);
     let idle = limits.idle_timeout.max(limits.head_timeout).after(IDLE_TIMEOUT_MARGIN);
     let timer = HeaderTimer::default();
+    let connection = Rc::new(CallerConnection::default());
+    let lingering = stream.clone();
     let service = service_fn(|req: Request<Incoming>| {
-        let (gw, timer) = (gw.clone(), timer.clone());
+        let (gw, timer, connection) = (gw.clone(), timer.clone(), connection.clone());
         timer.record_complete();
         async move {
-            let (head, body) = handle_request(gw, req).await.into_parts();
+            let (head, body) = handle_request(gw, &connection, req).await.into_parts();
             Ok::<_, Infallible>(Response::from_parts(head, timer.wrap_body(body)))
         }
     });
@@ -116,6 +119,10 @@
         Ok(())
     });
     let ended = ended.await;
+    let is_refused = |e: &hyper::Error| e.is_parse() || e.is_parse_too_large();
+    if connection.has_unread_body() || ended.as_ref().is_err_and(is_refused) {
+        discard_rest(lingering).await;
+    }
     if let Err(e) = ended {
         gw.telemetry.count("connection.broken", 1);
         gw.telemetry.debug("connection_broken", &[("why", &crate::upstream::error_chain(&e))]);
