fix(gateway): connections without a request give their place to new ones

What callers saw: their connections were closed at once for as long as others that sent nothing, or stopped within a head, held all places: until the idle timeout, 16 s by the usual configuration, and again and again if these came back.

Cause: a new connection was closed when all places were taken, whatever these did.

Change: the open connections stand in a table (core, without I/O) by what they do. When all places are taken, one is closed for the new one: first those whose response is written, then those that have never sent a request, oldest first, then idle ones, then those within a later head; never one with a request in progress or one that is not read yet. Ruled out: a shorter timeout for connections without a request, as callers may open them in advance.

--- a/core/src/lib.rs
+++ b/core/src/lib.rs
@@ -55,8 +55,9 @@
 pub use serving::{
     AcceptPolicy, AcceptQueue, Admission, AdmissionDecision, AdmissionPolicy, Affinity,
     AllowedRegions, AnswerCounts, AnswerSums, Arm, ArmChoice, Awaited, BackendId, BackendServer,
-    BaselineLatency, BrokenRun, CallLimits, Canary, CanaryPolicy, Capacity, CapacityLoans, Catalog,
-    ColdLimit, ColdPolicy, ConfidenceGains, ConnectTimeout, ConnectionKey, ConnectionReusePolicy,
+    BaselineLatency, BrokenRun, CallLimits, CallerConnections, Canary, CanaryPolicy, Capacity,
+    CapacityLoans, Catalog, ColdLimit, ColdPolicy, ConfidenceGains, ConnectTimeout,
+    ConnectionAdmission, ConnectionKey, ConnectionNumber, ConnectionPhase, ConnectionReusePolicy,
     CurrentSlowdown, Customer, CustomerShares, Demand, DomainRegions, EndedRun, EvacuationChange,
     Evacuations, EventId, EventSplitter, Evicted, Eviction, ExposureBudget, Fault, FeedHistory,
     FeedPositions, FeedUpdate, FeedUpdateOutcome, FeedView, Fingerprint, FleetEvidence, Headroom,
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -6,6 +6,7 @@
 mod answers;
 mod baseline_latency;
 mod budget;
+mod caller_connections;
 mod canary;
 mod canary_policy;
 mod capacity_loans;
@@ -53,6 +54,9 @@
 pub use answers::{AnswerCounts, AnswerSums, FleetEvidence, LatencySums, RouteEvidence};
 pub use baseline_latency::{BaselineLatency, CurrentSlowdown};
 pub use budget::{ResendBudget, ResendReason};
+pub use caller_connections::{
+    CallerConnections, ConnectionAdmission, ConnectionNumber, ConnectionPhase,
+};
 pub use canary::{Affinity, Arm, ArmChoice, Canary, OrderAge, Phase, RolloutOrder};
 pub use canary_policy::CanaryPolicy;
 pub use capacity_loans::{CapacityLoans, Part};
--- a/gateway/src/accept.rs
+++ b/gateway/src/accept.rs
@@ -6,7 +6,6 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{TcpListener, TcpStream};
-use std::rc::Rc;
 use std::sync::Arc;
 
 use event_listener::Event;
@@ -14,6 +13,7 @@
 use redwingfold_telemetry::Telemetry;
 use smol::Async;
 
+use crate::caller_connection::{CallerConnection, OpenConnections};
 use crate::clock::{Clock, processor_time, sleep};
 use crate::loop_turn::LoopTurn;
 
@@ -23,38 +23,11 @@
 /// Interval at which the end of an overload is looked for, to log it.
 const OVERLOAD_POLL_INTERVAL: Millis = Millis(100);
 
-/// Counts open connections of callers, also those that wait to be read.
-#[derive(Clone, Debug, Default)]
-pub(crate) struct OpenConnections(Rc<Cell<usize>>);
-
-impl OpenConnections {
-    /// Returns the number of open connections.
-    pub(crate) fn count(&self) -> usize {
-        self.0.get()
-    }
-
-    fn add(&self) -> OpenGuard {
-        self.0.set(self.0.get() + 1);
-        OpenGuard(self.clone())
-    }
-}
-
-/// Counts a connection as open until it is dropped.
-#[derive(Debug)]
-pub(crate) struct OpenGuard(OpenConnections);
-
-impl Drop for OpenGuard {
-    fn drop(&mut self) {
-        let count = &self.0.0;
-        count.set(count.get() - 1);
-    }
-}
-
 /// An accepted connection.
 #[derive(Debug)]
 pub(crate) struct NewConnection {
     pub(crate) stream: TcpStream,
-    pub(crate) guard: OpenGuard,
+    pub(crate) connection: CallerConnection,
 }
 
 /// Accepted connections that wait to be read.
@@ -95,17 +68,14 @@
         })
     }
 
-    /// Accepts connections forever. Those beyond `max_open` open ones are closed.
-    pub(crate) async fn accept(&self, listener: Arc<Async<TcpListener>>, max_open: usize) {
+    /// Accepts connections forever. Those for which there is no place are closed.
+    pub(crate) async fn accept(&self, listener: Arc<Async<TcpListener>>) {
         loop {
             match listener.read_with(TcpListener::accept).await {
                 Err(e) => {
                     self.telemetry.debug("accept_failed", &[("why", &e)]);
                     sleep(ACCEPT_RETRY_DELAY).await;
                 }
-                Ok(_) if self.open.count() >= max_open => {
-                    self.telemetry.count("connection.refused", 1)
-                }
                 Ok((stream, _)) => self.add(stream),
             }
         }
@@ -131,9 +101,10 @@
     }
 
     fn add(&self, stream: TcpStream) {
+        let Some(connection) = self.open.open() else { return };
         self.telemetry.count("connection.accepted", 1);
         self.accepted.set(self.accepted.get() + 1);
-        let connection = NewConnection { stream, guard: self.open.add() };
+        let connection = NewConnection { stream, connection };
         let excess = self.queue.borrow_mut().push(connection, Clock.now());
         self.close(excess);
         self.added.notify(1);
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -1,15 +1,147 @@
-//! State of a caller's connection that its requests share.
+//! Open connections of callers: their places, and the state that the requests of one share.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
 
-/// A connection of a caller.
+use event_listener::Event;
+use redwingfold_core::{
+    CallerConnections, ConnectionAdmission, ConnectionNumber, ConnectionPhase, Millis,
+};
+use redwingfold_telemetry::Telemetry;
+
+use crate::clock::{Clock, sleep};
+use crate::log_rate::LogRate;
+
+/// The open connections of a listener. Clones share them.
+#[derive(Clone, Debug)]
+pub(crate) struct OpenConnections(Rc<Places>);
+
+#[derive(Debug)]
+struct Places {
+    /// Prefix of the metrics.
+    kind: &'static str,
+    connections: RefCell<CallerConnections>,
+    signals: RefCell<HashMap<ConnectionNumber, Rc<CloseSignal>>>,
+    telemetry: Telemetry,
+    log_rate: LogRate,
+}
+
+/// Tells a connection that its place is needed.
 #[derive(Debug, Default)]
+struct CloseSignal {
+    is_set: Cell<bool>,
+    changed: Event,
+}
+
+impl OpenConnections {
+    /// Creates a table with `max` places, whose metrics begin with `kind`.
+    pub(crate) fn new(kind: &'static str, max: usize, telemetry: Telemetry) -> Self {
+        Self(Rc::new(Places {
+            kind,
+            connections: RefCell::new(CallerConnections::new(max)),
+            signals: RefCell::default(),
+            telemetry,
+            log_rate: LogRate::default(),
+        }))
+    }
+
+    /// Returns the number of open connections.
+    pub(crate) fn count(&self) -> usize {
+        self.0.connections.borrow().count()
+    }
+
+    /// Returns the place of a new connection, for which another one may have to be closed; `None` if all are needed.
+    pub(crate) fn open(&self) -> Option<CallerConnection> {
+        let places = &self.0;
+        let admission = places.connections.borrow_mut().open(Clock.now());
+        let number = match admission {
+            ConnectionAdmission::Admitted(number) => number,
+            ConnectionAdmission::InsteadOf(number, closed) => {
+                places.record("closed_for_new");
+                let signal = places.signals.borrow_mut().remove(&closed);
+                signal.iter().for_each(|signal| {
+                    signal.is_set.set(true);
+                    signal.changed.notify(usize::MAX);
+                });
+                number
+            }
+            ConnectionAdmission::Full => {
+                places.record("refused");
+                return None;
+            }
+        };
+        let signal = Rc::new(CloseSignal::default());
+        places.signals.borrow_mut().insert(number, signal.clone());
+        Some(CallerConnection {
+            open: self.clone(),
+            number,
+            signal,
+            phase: Cell::new(ConnectionPhase::Queued),
+            head_began: Cell::new(Millis(0)),
+            has_unread_body: Cell::new(false),
+        })
+    }
+}
+
+impl Places {
+    fn record(&self, what: &str) {
+        self.telemetry.count(&format!("{}.{what}", self.kind), 1);
+        if self.log_rate.take_line(Clock.now()) {
+            let open = self.connections.borrow().count();
+            let pairs: &[(&str, &dyn std::fmt::Display)] =
+                &[("listener", &self.kind), ("open", &open), ("outcome", &what)];
+            self.telemetry.warn("connections_full", pairs);
+        }
+    }
+}
+
+/// A connection of a caller, which has its place until it is dropped.
+///
+/// The HTTP parser has a single timer for idle connections and heads. With it alone, a caller that sends a byte now and
+/// then keeps its connection for as long as an idle one may be kept. Therefore the head has a separate, shorter timeout.
+#[derive(Debug)]
 pub(crate) struct CallerConnection {
+    open: OpenConnections,
+    number: ConnectionNumber,
+    signal: Rc<CloseSignal>,
+    phase: Cell<ConnectionPhase>,
+    /// When the first byte of an incomplete head was received.
+    head_began: Cell<Millis>,
     /// Whether its last response refuses a request whose body is not read to its end.
     has_unread_body: Cell<bool>,
 }
 
 impl CallerConnection {
+    fn set_phase(&self, phase: ConnectionPhase) {
+        self.phase.set(phase);
+        self.open.0.connections.borrow_mut().set_phase(self.number, phase, Clock.now());
+    }
+
+    /// Records that it is read from now on.
+    pub(crate) fn record_start(&self) {
+        self.set_phase(ConnectionPhase::Idle);
+    }
+
+    /// Records that bytes were received. Those that come while a request is processed belong to it, or to a pipelined
+    /// request that has to wait.
+    pub(crate) fn record_bytes(&self) {
+        if self.phase.get() == ConnectionPhase::Idle {
+            self.head_began.set(Clock.now());
+            self.set_phase(ConnectionPhase::Head);
+        }
+    }
+
+    /// Records that a whole head was received.
+    pub(crate) fn record_request(&self) {
+        self.set_phase(ConnectionPhase::Busy);
+    }
+
+    /// Records that the response was passed on.
+    pub(crate) fn record_response(&self) {
+        self.set_phase(ConnectionPhase::Idle);
+    }
+
     /// Records that a request is refused while its caller may still be sending its body.
     pub(crate) fn record_unread_body(&self) {
         self.has_unread_body.set(true);
@@ -19,4 +151,38 @@
     pub(crate) fn has_unread_body(&self) -> bool {
         self.has_unread_body.get()
     }
+
+    /// Records that what its caller still sends is discarded.
+    pub(crate) fn record_closing(&self) {
+        self.set_phase(ConnectionPhase::Closing);
+    }
+
+    /// Waits until its place is needed for another connection.
+    pub(crate) async fn wait_close(&self) {
+        loop {
+            let changed = self.signal.changed.listen();
+            if self.signal.is_set.get() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Waits until a head has been incomplete for `limit`. Detection takes at most twice as long.
+    pub(crate) async fn wait_for_head_timeout(&self, limit: Millis) {
+        loop {
+            sleep(limit).await;
+            let is_in_head = self.phase.get() == ConnectionPhase::Head;
+            if is_in_head && Clock.now().since(self.head_began.get()) >= limit {
+                return;
+            }
+        }
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        self.open.0.connections.borrow_mut().close(self.number);
+        self.open.0.signals.borrow_mut().remove(&self.number);
+    }
 }
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -16,8 +16,8 @@
 use redwingfold_telemetry::Telemetry;
 use smol::LocalExecutor;
 
-use crate::accept::OpenConnections;
 use crate::admission::AdmissionQueues;
+use crate::caller_connection::OpenConnections;
 use crate::capacity_loans::LoanTable;
 use crate::clock::{Clock, processor_time, within};
 use crate::connection_pool::ConnectionPool;
@@ -161,6 +161,8 @@
     ) -> Self {
         let rollouts = Rollouts::new(settings.canary, settings.session_retention);
         let feeds = Feeds::new(settings.feeds);
+        let connections =
+            OpenConnections::new("connection", settings.max_connections, telemetry.clone());
         let memory = Rc::new(MemoryAccount::new(settings.memory, telemetry.clone()));
         let connect_timeout = ConnectTimeout::new(settings.connect_timeout);
         let pool = ConnectionPool::new(settings.connection_reuse);
@@ -179,7 +181,7 @@
             executor,
             loads: LoadTable::default(),
             pool,
-            connections: OpenConnections::default(),
+            connections,
             memory,
             in_flight: Cell::new(0),
             catalog: RefCell::new(None),
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod attempt;
 mod availability;
 mod caller_connection;
+mod caller_stream;
 mod capacity_loans;
 #[cfg(test)]
 mod capacity_loans_tests;
@@ -31,7 +32,6 @@
 mod fingerprint;
 mod gateway;
 mod gossip;
-mod header_timer;
 mod hyper_io;
 mod interim_limit;
 mod limits;
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -17,9 +17,9 @@
 
 use crate::accept::{ACCEPT_RETRY_DELAY, NewConnection, NewConnections};
 use crate::caller_connection::CallerConnection;
+use crate::caller_stream::{CallerBody, CallerStream};
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Lifecycle};
-use crate::header_timer::HeaderTimer;
 use crate::hyper_io::HyperIo;
 use crate::net::{discard_rest, set_socket_options};
 use crate::pipeline::handle_request;
@@ -42,54 +42,81 @@
     listener: TcpListener,
 ) -> io::Result<impl Future<Output = ()>> {
     let (settings, telemetry) = (&gw.settings, gw.telemetry.clone());
-    let max_open = settings.max_connections;
     let accepted = NewConnections::new(settings.accept, telemetry, gw.connections.clone())?;
     let accepted = Rc::new(accepted);
     let logging = accepted.clone();
     gw.spawn(async move { logging.log_overload().await });
     gw.spawn(serve_new_connections(gw.clone(), accepted.clone()));
-    Ok(async move { accepted.accept(listener.into(), max_open).await })
+    Ok(async move { accepted.accept(listener.into()).await })
 }
 
 async fn serve_new_connections(gw: Rc<Gateway>, accepted: Rc<NewConnections>) {
     loop {
-        let NewConnection { stream, guard } = accepted.next().await;
+        let NewConnection { stream, connection } = accepted.next().await;
         let gateway = gw.clone();
         gw.spawn(async move {
             match Async::new(stream) {
-                Ok(stream) => serve_connection(&gateway, stream.into()).await,
+                Ok(stream) => serve_connection(&gateway, stream.into(), connection).await,
                 Err(e) => gateway.telemetry.warn("connection_options", &[("why", &e)]),
             }
-            drop(guard);
         });
     }
 }
 
-async fn serve_connection(gw: &Rc<Gateway>, stream: TcpStream) {
+async fn serve_connection(gw: &Rc<Gateway>, stream: TcpStream, connection: CallerConnection) {
     if let Err(e) = set_socket_options(&stream) {
         gw.telemetry.warn("connection_options", &[("why", &e)]);
         return;
     }
+    let connection = Rc::new(connection);
+    connection.record_start();
     let limits = gw.catalog().map_or_else(CallLimits::default, |c| c.limits);
+    let served = async {
+        let ended = serve_requests(gw, stream.clone(), &connection, &limits).await;
+        let is_refused = |e: &hyper::Error| e.is_parse() || e.is_parse_too_large();
+        if connection.has_unread_body() || ended.as_ref().is_err_and(is_refused) {
+            connection.record_closing();
+            discard_rest(stream).await;
+        }
+        if let Err(e) = ended {
+            let why = crate::upstream::error_chain(&e);
+            gw.telemetry.count("connection.broken", 1);
+            gw.telemetry.debug("connection_broken", &[("why", &why)]);
+        }
+    };
+    let head_timeout = async {
+        connection.wait_for_head_timeout(limits.head_timeout).await;
+        gw.telemetry.count("connection.slow_head", 1);
+        gw.telemetry
+            .debug("connection_closed", &[("why", &"timeout while receiving a request head")]);
+    };
+    smol::future::or(connection.wait_close(), smol::future::or(served, head_timeout)).await;
+}
+
+/// Serves the requests on a connection until it ends, or the gateway stops.
+async fn serve_requests(
+    gw: &Rc<Gateway>,
+    stream: TcpStream,
+    connection: &Rc<CallerConnection>,
+    limits: &CallLimits,
+) -> Result<(), hyper::Error> {
     let idle = limits.idle_timeout.max(limits.head_timeout).after(IDLE_TIMEOUT_MARGIN);
-    let timer = HeaderTimer::default();
-    let connection = Rc::new(CallerConnection::default());
-    let lingering = stream.clone();
     let service = service_fn(|req: Request<Incoming>| {
-        let (gw, timer, connection) = (gw.clone(), timer.clone(), connection.clone());
-        timer.record_complete();
+        let (gw, connection) = (gw.clone(), connection.clone());
+        connection.record_request();
         async move {
-            let (head, body) = handle_request(gw, &connection, req).await.into_parts();
-            Ok::<_, Infallible>(Response::from_parts(head, timer.wrap_body(body)))
+            let (head, inner) = handle_request(gw, &connection, req).await.into_parts();
+            Ok::<_, Infallible>(Response::from_parts(head, CallerBody { inner, connection }))
         }
     });
     let is_shutting_down = gw.lifecycle() == Lifecycle::Stopping;
+    let stream = CallerStream { inner: stream, connection: connection.clone() };
     let conn = http1::Builder::new()
         .keep_alive(!is_shutting_down)
         .timer(SmolTimer::new())
         .header_read_timeout(Duration::from_millis(idle.0))
         .max_buf_size(limits.head_bytes.max(MIN_HEADER_BUFFER_BYTES))
-        .serve_connection(HyperIo(timer.wrap_stream(stream)), service);
+        .serve_connection(HyperIo(stream), service);
     let mut conn = pin!(conn);
     let shutdown = async {
         // A connection accepted during shutdown has no keep-alive, and stays open for its only request.
@@ -99,33 +126,12 @@
         gw.wait_until_stopping().await;
         None
     };
-    let header_timeout = async {
-        timer.wait_for_timeout(limits.head_timeout).await;
-        gw.telemetry.count("connection.slow_head", 1);
-        gw.telemetry
-            .debug("connection_closed", &[("why", &"timeout while receiving a request head")]);
-    };
-    let served = async {
-        match smol::future::or(async { Some(conn.as_mut().await) }, shutdown).await {
-            Some(ended) => ended,
-            None => {
-                conn.as_mut().graceful_shutdown();
-                conn.as_mut().await
-            }
+    match smol::future::or(async { Some(conn.as_mut().await) }, shutdown).await {
+        Some(ended) => ended,
+        None => {
+            conn.as_mut().graceful_shutdown();
+            conn.as_mut().await
         }
-    };
-    let ended = smol::future::or(served, async {
-        header_timeout.await;
-        Ok(())
-    });
-    let ended = ended.await;
-    let is_refused = |e: &hyper::Error| e.is_parse() || e.is_parse_too_large();
-    if connection.has_unread_body() || ended.as_ref().is_err_and(is_refused) {
-        discard_rest(lingering).await;
-    }
-    if let Err(e) = ended {
-        gw.telemetry.count("connection.broken", 1);
-        gw.telemetry.debug("connection_broken", &[("why", &crate::upstream::error_chain(&e))]);
     }
 }
 
