fix(gateway): the readiness check is answered beside connections that send nothing

What callers saw: none yet; the load balancer takes a sound gateway out of service when two checks in a row fail, and with it its callers' capacity.

Cause: 64 connections to the readiness port that send nothing, or stop within a head, took all its places, and had no timeout: the page server set no timer. The ports for metrics and peers share the code.

Evidence: readiness_is_answered_beside_silent_connections: no answer beside 96 such connections.

Change: the pages use the table of open connections as well: one without a request is closed for a new one. A head has 5 s, and a connection 8 kB of buffer where it had up to 400 kB. The listener yields after each connection, so that a request that has arrived is read before others can take its place.

--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -16,7 +16,7 @@
 use smol_hyper::rt::SmolTimer;
 
 use crate::accept::{ACCEPT_RETRY_DELAY, NewConnection, NewConnections};
-use crate::caller_connection::CallerConnection;
+use crate::caller_connection::{CallerConnection, OpenConnections};
 use crate::caller_stream::{CallerBody, CallerStream};
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Lifecycle};
@@ -32,6 +32,9 @@
 /// Minimum size of the header buffer that the HTTP library accepts.
 const MIN_HEADER_BUFFER_BYTES: usize = 8 * 1024;
 
+/// Time within which the head of a request for a page must arrive.
+const PAGE_HEAD_TIMEOUT: Millis = Millis(5_000);
+
 /// Accepts callers' connections until the returned future is dropped. Those that were accepted are served nevertheless.
 ///
 /// # Errors
@@ -135,40 +138,59 @@
     }
 }
 
-/// Serves pages on at most `max` concurrent connections; further ones are closed immediately. `page` returns the response
-/// for a URI, or `None` for status 404.
+/// Serves pages on at most `max` concurrent connections. If all are taken, one without a request is closed for a new one.
+/// `page` returns the response for a URI, or `None` for status 404.
 pub async fn serve_pages(
     gw: Rc<Gateway>,
     listener: TcpListener,
     max: usize,
     page: impl Fn(&Uri) -> Option<GatewayResponse> + Clone + 'static,
 ) {
-    let open = Rc::new(());
+    let open = OpenConnections::new("pages", max, gw.telemetry.clone());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
-        if Rc::strong_count(&open) > max {
-            gw.telemetry.count("pages.refused", 1);
-            continue;
+        if let Some(connection) = open.open() {
+            let (gateway, page) = (gw.clone(), page.clone());
+            gw.spawn(async move { serve_page_requests(&gateway, stream, connection, page).await });
         }
-        let (page, open_guard) = (page.clone(), open.clone());
-        let gateway = gw.clone();
-        gw.spawn(async move {
-            if let Err(e) = set_socket_options(&stream) {
-                gateway.telemetry.warn("connection_options", &[("why", &e)]);
-                return;
-            }
-            let service = service_fn(|req: Request<Incoming>| {
-                let not_found = || text_response(StatusCode::NOT_FOUND, "");
-                let res = page(req.uri()).unwrap_or_else(not_found);
-                std::future::ready(Ok::<_, Infallible>(res))
-            });
-            let conn = http1::Builder::new().serve_connection(HyperIo(stream), service);
-            // An error needs no handling here, as the client notices that its request failed.
-            conn.await.ok();
-            drop(open_guard);
-        });
+        // Each connection is read before the next one may take its place.
+        smol::future::yield_now().await;
+    }
+}
+
+async fn serve_page_requests(
+    gw: &Gateway,
+    stream: TcpStream,
+    connection: CallerConnection,
+    page: impl Fn(&Uri) -> Option<GatewayResponse>,
+) {
+    if let Err(e) = set_socket_options(&stream) {
+        gw.telemetry.warn("connection_options", &[("why", &e)]);
+        return;
     }
+    let connection = Rc::new(connection);
+    connection.record_start();
+    let service = service_fn(|req: Request<Incoming>| {
+        connection.record_request();
+        let not_found = || text_response(StatusCode::NOT_FOUND, "");
+        let (head, inner) = page(req.uri()).unwrap_or_else(not_found).into_parts();
+        let res = Response::from_parts(head, CallerBody { inner, connection: connection.clone() });
+        std::future::ready(Ok::<_, Infallible>(res))
+    });
+    let stream = CallerStream { inner: stream, connection: connection.clone() };
+    let conn = http1::Builder::new()
+        .max_buf_size(MIN_HEADER_BUFFER_BYTES)
+        .serve_connection(HyperIo(stream), service);
+    let served = async {
+        // An error needs no handling here, as the client notices that its request failed.
+        conn.await.ok();
+    };
+    let closed = smol::future::or(
+        connection.wait_close(),
+        connection.wait_for_head_timeout(PAGE_HEAD_TIMEOUT),
+    );
+    smol::future::or(closed, served).await;
 }
