fix(gateway): what callers' connections hold unread is limited

What callers saw: nothing of their own; bytes that lie unread in the sockets count as memory of the process, and could exceed its limit by themselves.

Cause: while a request is processed, the HTTP library reads one buffer ahead, and the kernel keeps what comes after it: 65 kB a connection and more, as it fits the buffer to the speed of the sender. Nothing bounded the sum.

Evidence: bytes_behind_requests_in_progress, 540 callers whose requests wait for a server and who send on: 76,545 kB with 52 MB unread, of 65,536 kB allowed.

--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -20,6 +20,9 @@
 /// Interval of keepalive probes.
 const KEEPALIVE_EVERY: Duration = Duration::from_secs(1);
 
+/// Size of the receive buffer of an accepted connection, which the kernel doubles for its own use.
+const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
+
 /// Longest time for which a caller's bytes are discarded after the last response on its connection.
 const LINGER_TIMEOUT: Millis = Millis(1_000);
 
@@ -70,6 +73,16 @@
     Ok(stream)
 }
 
+/// Limits the bytes that connections accepted from now on hold unread. Otherwise the kernel holds up to megabytes for each,
+/// as it fits the buffer to the speed of the sender.
+///
+/// # Errors
+///
+/// If the operating system rejects the option.
+pub(crate) fn limit_unread_bytes(listener: &TcpListener) -> io::Result<()> {
+    SockRef::from(listener).set_recv_buffer_size(RECEIVE_BUFFER_BYTES)
+}
+
 /// Listens on an address.
 ///
 /// # Errors
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -21,7 +21,7 @@
 use crate::clock::sleep;
 use crate::gateway::{Gateway, Lifecycle};
 use crate::hyper_io::HyperIo;
-use crate::net::{discard_rest, set_socket_options};
+use crate::net::{discard_rest, limit_unread_bytes, set_socket_options};
 use crate::pipeline::handle_request;
 use crate::response::{GatewayResponse, text_response};
 
@@ -45,6 +45,7 @@
     listener: TcpListener,
 ) -> io::Result<impl Future<Output = ()>> {
     let (settings, telemetry) = (&gw.settings, gw.telemetry.clone());
+    set_listener_options(&gw, &listener);
     let accepted = NewConnections::new(settings.accept, telemetry, gw.connections.clone())?;
     let accepted = Rc::new(accepted);
     let logging = accepted.clone();
@@ -53,6 +54,12 @@
     Ok(async move { accepted.accept(listener.into()).await })
 }
 
+fn set_listener_options(gw: &Gateway, listener: &TcpListener) {
+    if let Err(e) = limit_unread_bytes(listener) {
+        gw.telemetry.warn("listener_options", &[("why", &e)]);
+    }
+}
+
 async fn serve_new_connections(gw: Rc<Gateway>, accepted: Rc<NewConnections>) {
     loop {
         let NewConnection { stream, connection } = accepted.next().await;
@@ -146,6 +153,7 @@
     max: usize,
     page: impl Fn(&Uri) -> Option<GatewayResponse> + Clone + 'static,
 ) {
+    set_listener_options(&gw, &listener);
     let open = OpenConnections::new("pages", max, gw.telemetry.clone());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
