fix(gateway): responses that callers leave unread take no more than is reserved for them

What callers saw: a gateway ran out of memory beside callers that asked for large answers and did not read them.

Cause: a plain answer is buffered as a whole, up to the limit on bodies, and counted nowhere; the HTTP library copied it once more into its write buffer. Pipelined requests doubled that, as the next answer was fetched while the one before it was still to be written. The chunks of a stream that waits for its caller each kept the buffer that they were read into.

Change: answers are received into reserved segments, and given back segment by segment as the caller reads. One that does not fit is forwarded as it arrives: it is delivered, but not asked for again if it breaks off. Weighed against it: waiting for memory, in which requests that each hold a part of their answer wait for one another until their deadlines. A request that is not sent again gives back its body when its answer begins.

--- a/core/src/serving/request_memory.rs
+++ b/core/src/serving/request_memory.rs
@@ -198,6 +198,12 @@
         Ok(evicted)
     }
 
+    /// Returns what is reserved for the body and the response of a request.
+    pub fn reserved(&self, number: HolderNumber) -> ByteCount {
+        let bytes = self.holders.get(&number).map_or(0, |holder| holder.bytes);
+        ByteCount(bytes.saturating_sub(self.policy.per_request.0))
+    }
+
     /// Returns whether a request could get `bytes` for its body and response.
     pub fn has_room(&self, number: HolderNumber, bytes: usize, now: Millis) -> bool {
         self.plan(number, bytes, now).is_some()
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -91,6 +91,11 @@
         self.metadata.load.map_or(0.0, per_slot)
     }
 
+    /// Returns the length of the rest of the body, if it is known.
+    pub(crate) fn content_length(&self) -> Option<usize> {
+        self.body.size_hint().exact().map(|len| len as usize)
+    }
+
     /// Gives the connection to the pool. Must be called only after [`BodyRead::End`], as the server would not notice that
     /// the response is no longer wanted.
     pub(crate) fn release_connection(&mut self, gw: &Rc<Gateway>) {
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -27,13 +27,20 @@
     log_rate: LogRate,
 }
 
-/// Tells a connection that its place is needed.
+/// Tells a connection that it has to be closed.
 #[derive(Debug, Default)]
 struct CloseSignal {
     is_set: Cell<bool>,
     changed: Event,
 }
 
+impl CloseSignal {
+    fn set(&self) {
+        self.is_set.set(true);
+        self.changed.notify(usize::MAX);
+    }
+}
+
 impl OpenConnections {
     /// Creates a table with `max` places, whose metrics begin with `kind`.
     pub(crate) fn new(kind: &'static str, max: usize, telemetry: Telemetry) -> Self {
@@ -60,10 +67,7 @@
             ConnectionAdmission::InsteadOf(number, closed) => {
                 places.record("closed_for_new");
                 let signal = places.signals.borrow_mut().remove(&closed);
-                signal.iter().for_each(|signal| {
-                    signal.is_set.set(true);
-                    signal.changed.notify(usize::MAX);
-                });
+                signal.iter().for_each(|signal| signal.set());
                 number
             }
             ConnectionAdmission::Full => {
@@ -157,7 +161,12 @@
         self.set_phase(ConnectionPhase::Closing);
     }
 
-    /// Waits until its place is needed for another connection.
+    /// Closes it, whatever it does.
+    pub(crate) fn close(&self) {
+        self.signal.set();
+    }
+
+    /// Waits until it has to be closed.
     pub(crate) async fn wait_close(&self) {
         loop {
             let changed = self.signal.changed.listen();
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -33,11 +33,11 @@
 /// Processes a caller's request and returns the response, including errors.
 pub(crate) async fn handle_request(
     gw: Rc<Gateway>,
-    connection: &CallerConnection,
+    connection: &Rc<CallerConnection>,
     req: Request<Incoming>,
 ) -> GatewayResponse {
     let (head, mut body) = req.into_parts();
-    let answered = Box::pin(process_request(&gw, head, &mut body)).await;
+    let answered = Box::pin(process_request(&gw, connection, head, &mut body)).await;
     let mut res = match answered {
         Ok(res) => res,
         Err(failed) => {
@@ -60,29 +60,31 @@
 
 async fn process_request(
     gw: &Rc<Gateway>,
+    connection: &Rc<CallerConnection>,
     head: Parts,
     body: &mut Incoming,
 ) -> Result<GatewayResponse, RequestError> {
     let received_at = gw.now();
     let mut id = String::new();
-    let (catalog, route, customer, metadata, parts) = match admit(gw, head, body, &mut id).await {
-        Ok(admitted) => admitted,
-        Err(failed) => {
-            gw.telemetry.count("request.refused", 1);
-            let config = gw.catalog().map_or(0, |catalog| catalog.version);
-            gw.telemetry.info(
-                "request_refused",
-                &[
-                    ("request", &id),
-                    ("kind", &failed.kind),
-                    ("why", &failed.why),
-                    ("config", &config),
-                    ("took_ms", &gw.now().since(received_at)),
-                ],
-            );
-            return Err(failed);
-        }
-    };
+    let (catalog, route, customer, metadata, parts) =
+        match admit(gw, connection, head, body, &mut id).await {
+            Ok(admitted) => admitted,
+            Err(failed) => {
+                gw.telemetry.count("request.refused", 1);
+                let config = gw.catalog().map_or(0, |catalog| catalog.version);
+                gw.telemetry.info(
+                    "request_refused",
+                    &[
+                        ("request", &id),
+                        ("kind", &failed.kind),
+                        ("why", &failed.why),
+                        ("config", &config),
+                        ("took_ms", &gw.now().since(received_at)),
+                    ],
+                );
+                return Err(failed);
+            }
+        };
     let request =
         InFlightRequest::new(gw.clone(), catalog, route, customer, metadata, parts, received_at);
     match Box::pin(request.execute()).await {
@@ -103,6 +105,7 @@
 /// soon as the request's id is decoded, so that rejections are logged with it.
 async fn admit(
     gw: &Rc<Gateway>,
+    connection: &Rc<CallerConnection>,
     head: Parts,
     body: &mut Incoming,
     id: &mut String,
@@ -119,7 +122,7 @@
             (catalog.limits, memory_owner(&catalog, customer.as_ref()))
         }
     };
-    let memory = gw.memory.open(owner).map_err(full_error)?;
+    let memory = gw.memory.open(owner, connection).map_err(full_error)?;
     let body = receive_body(body, &limits, &memory).await?;
     // Fetched again after the body, so that a slowly sent request is not processed with an outdated configuration.
     let catalog = wait_for_catalog(gw, &metadata).await?;
@@ -132,7 +135,7 @@
         uri: head.uri,
         headers: head.headers,
         body,
-        memory,
+        memory: Rc::new(memory),
         fingerprint,
     };
     Ok((catalog, route, customer, metadata, parts))
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -19,10 +19,10 @@
 use crate::metadata::{RequestMetadata, RequestedModel};
 use crate::quarantine::Trial;
 use crate::request_memory::HeldMemory;
-use crate::response::{GatewayResponse, RequestError, forwarded_response, full_body};
+use crate::response::{GatewayResponse, RequestError, forwarded_response};
 use crate::rollout_choice::BindingReason;
 use crate::rollouts::{AnswerSample, AnswerSignal, Rollouts};
-use crate::segments::WholeBody;
+use crate::segments::{GrowingBody, SegmentedBody, WholeBody};
 use crate::session_keepers::KeepersReply;
 
 /// Failed connection attempts after which a request fails.
@@ -51,7 +51,7 @@
     pub(crate) headers: HeaderMap,
     pub(crate) body: WholeBody,
     /// Memory that is reserved for it, until it ends.
-    _memory: HeldMemory,
+    pub(crate) memory: Rc<HeldMemory>,
     pub(crate) received_at: Millis,
     pub(crate) deadline: Millis,
     /// Index of the model in the route's `sizes`, ordered by size, if the gateway chooses the model.
@@ -96,10 +96,25 @@
     pub(crate) uri: Uri,
     pub(crate) headers: HeaderMap,
     pub(crate) body: WholeBody,
-    pub(crate) memory: HeldMemory,
+    pub(crate) memory: Rc<HeldMemory>,
     pub(crate) fingerprint: Fingerprint,
 }
 
+/// A plain response.
+enum WholeResponse {
+    /// It was buffered.
+    Buffered(GatewayResponse),
+    /// There is no memory for it; these bytes of it were received.
+    TooLarge(Box<UpstreamResponse>, Vec<Bytes>),
+}
+
+/// What was received of a response.
+enum BufferedBody {
+    /// A part, as there is no memory for more.
+    Begun(Vec<Bytes>),
+    Whole(WholeBody),
+}
+
 impl InFlightRequest {
     pub(crate) fn new(
         gw: Rc<Gateway>,
@@ -135,7 +150,7 @@
             uri: parts.uri,
             headers: parts.headers,
             body: parts.body,
-            _memory: parts.memory,
+            memory: parts.memory,
             received_at,
             deadline,
             size,
@@ -214,7 +229,10 @@
             return Ok(crate::relay::start(self, response));
         }
         match Box::pin(self.relay_whole(response)).await {
-            Ok(answer) => Ok(answer),
+            Ok(WholeResponse::Buffered(answer)) => Ok(answer),
+            Ok(WholeResponse::TooLarge(response, begun)) => {
+                Ok(crate::relay::start_unbuffered(self, response, begun))
+            }
             Err(failed) => Err((Box::new(self), failed)),
         }
     }
@@ -408,21 +426,22 @@
         self.gw.with_rollouts(|r| r.record_answer(&sample, self.gw.now()));
     }
 
-    /// Buffers the whole response before forwarding it. If it breaks off, the request is retried if that is allowed.
+    /// Buffers the whole response before forwarding it, if there is memory for it. If it breaks off, the request is retried
+    /// if that is allowed.
     async fn relay_whole(
         &mut self,
         mut response: Box<UpstreamResponse>,
-    ) -> Result<GatewayResponse, RequestError> {
+    ) -> Result<WholeResponse, RequestError> {
         loop {
             let why = match self.read_whole_body(&mut response).await {
-                Ok(bytes) => {
-                    response.in_flight.record_completion();
-                    response.release_connection(&self.gw);
-                    self.outcome = format!("status_{}", response.head.status.as_u16());
-                    if proves_completion(response.head.status) {
-                        self.gw.record_completion(&self.suspect_keys);
-                    }
-                    return Ok(forwarded_response(&response, full_body(bytes)));
+                Ok(BufferedBody::Whole(body)) => {
+                    self.record_whole_response(&mut response);
+                    let body = SegmentedBody::for_caller(body, self.memory.clone());
+                    let answer = forwarded_response(&response, Box::pin(body));
+                    return Ok(WholeResponse::Buffered(answer));
+                }
+                Ok(BufferedBody::Begun(begun)) => {
+                    return Ok(WholeResponse::TooLarge(response, begun));
                 }
                 Err(why) => why,
             };
@@ -436,18 +455,53 @@
         }
     }
 
-    async fn read_whole_body(&self, response: &mut UpstreamResponse) -> Result<Bytes, String> {
-        let max = self.gw.settings.max_buffered_response_bytes.max(self.catalog.limits.body_bytes);
-        let mut bytes = Vec::new();
+    /// Records the outcome for the log.
+    pub(crate) fn record_outcome(&mut self, outcome: String) {
+        self.outcome = outcome;
+    }
+
+    /// Gives back the memory of the body of a request that is not sent again.
+    pub(crate) fn drop_body(&mut self) {
+        self.memory.release(self.body.allocated());
+        self.body = WholeBody::default();
+    }
+
+    /// Records that a response was received to its end.
+    pub(crate) fn record_whole_response(&mut self, response: &mut UpstreamResponse) {
+        response.in_flight.record_completion();
+        response.release_connection(&self.gw);
+        self.outcome = format!("status_{}", response.head.status.as_u16());
+        if proves_completion(response.head.status) {
+            self.gw.record_completion(&self.suspect_keys);
+        }
+    }
+
+    /// Returns the longest response that is buffered, in bytes.
+    pub(crate) fn max_response_bytes(&self) -> usize {
+        self.gw.settings.max_buffered_response_bytes.max(self.catalog.limits.body_bytes)
+    }
+
+    async fn read_whole_body(
+        &self,
+        response: &mut UpstreamResponse,
+    ) -> Result<BufferedBody, String> {
+        let max = self.max_response_bytes();
+        let mut body = GrowingBody::new(response.content_length());
         loop {
-            match within(self.time_left(), response.read_next()).await {
+            let mut chunk = match within(self.time_left(), response.read_next()).await {
                 None => return Err("deadline".to_owned()),
-                Some(BodyRead::End) => return Ok(bytes.into()),
+                Some(BodyRead::End) => return Ok(BufferedBody::Whole(body.finish())),
                 Some(BodyRead::Broken(why)) => return Err(why),
-                Some(BodyRead::Chunk(chunk)) if bytes.len() + chunk.len() > max => {
-                    return Err(format!("an answer of more than {max} bytes"));
-                }
-                Some(BodyRead::Chunk(chunk)) => bytes.extend_from_slice(&chunk),
+                Some(BodyRead::Chunk(chunk)) => chunk,
+            };
+            if body.len() + chunk.len() > max {
+                return Err(format!("an answer of more than {max} bytes"));
+            }
+            let reserve = |bytes| self.memory.resize(self.body.allocated() + bytes);
+            if body.push(&mut chunk, reserve).is_err() {
+                let mut begun = body.finish().into_segments();
+                begun.push(chunk);
+                return Ok(BufferedBody::Begun(begun));
             }
         }
     }
--- a/gateway/src/request_body.rs
+++ b/gateway/src/request_body.rs
@@ -44,12 +44,12 @@
     while let Some(frame) = body.frame().await {
         let broken = |e| RequestError::new(ErrorKind::BadRequest, format!("body: {e}"));
         // Trailers are not forwarded.
-        let Ok(data) = frame.map_err(broken)?.into_data() else { continue };
+        let Ok(mut data) = frame.map_err(broken)?.into_data() else { continue };
         if received.len() + data.len() > limits.body_bytes {
             return Err(too_large(limits));
         }
-        received.push(&data, |bytes| memory.resize(bytes)).map_err(full_error)?;
         memory.record_progress(data.len());
+        received.push(&mut data, |bytes| memory.resize(bytes)).map_err(full_error)?;
     }
     Ok(received.finish())
 }
--- a/gateway/src/request_memory.rs
+++ b/gateway/src/request_memory.rs
@@ -11,6 +11,7 @@
 };
 use redwingfold_telemetry::Telemetry;
 
+use crate::caller_connection::CallerConnection;
 use crate::clock::Clock;
 use crate::log_rate::LogRate;
 
@@ -24,10 +25,11 @@
 }
 
 /// Whether a request has lost its memory.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct HolderState {
     eviction: Cell<Option<Eviction>>,
     evicted: Event,
+    connection: Rc<CallerConnection>,
 }
 
 /// The memory of one request, until it is dropped.
@@ -53,11 +55,19 @@
     /// # Errors
     ///
     /// [`MemoryFull`] if there is none.
-    pub(crate) fn open(self: &Rc<Self>, owner: MemoryOwner) -> Result<HeldMemory, MemoryFull> {
+    pub(crate) fn open(
+        self: &Rc<Self>,
+        owner: MemoryOwner,
+        connection: &Rc<CallerConnection>,
+    ) -> Result<HeldMemory, MemoryFull> {
         let opened = self.memory.borrow_mut().open(owner, Clock.now());
         let (number, evicted) = opened.inspect_err(|_| self.record_full("request", 0))?;
         self.evict(evicted);
-        let state = Rc::new(HolderState::default());
+        let state = Rc::new(HolderState {
+            eviction: Cell::default(),
+            evicted: Event::new(),
+            connection: connection.clone(),
+        });
         self.holders.borrow_mut().insert(number, state.clone());
         Ok(HeldMemory { account: self.clone(), number, state })
     }
@@ -79,6 +89,10 @@
             if let Some(state) = self.holders.borrow_mut().remove(&number) {
                 state.eviction.set(Some(why));
                 state.evicted.notify(usize::MAX);
+                // The caller has the beginning of its response already.
+                if why == Eviction::UnreadResponse {
+                    state.connection.close();
+                }
             }
         }
     }
@@ -113,6 +127,18 @@
         Ok(())
     }
 
+    /// Gives back what the request needs no longer.
+    pub(crate) fn shrink(&self, bytes: usize) {
+        // Less memory is always granted.
+        self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now()).ok();
+    }
+
+    /// Gives back a part of what is reserved for the body and the response.
+    pub(crate) fn release(&self, bytes: usize) {
+        let reserved = self.account.memory.borrow().reserved(self.number);
+        self.shrink(reserved.0.saturating_sub(bytes));
+    }
+
     /// Returns an error if the request could not get `bytes` now.
     pub(crate) fn check_room(&self, bytes: usize) -> Result<(), MemoryFull> {
         match self.account.memory.borrow().has_room(self.number, bytes, Clock.now()) {
--- a/gateway/src/segments.rs
+++ b/gateway/src/segments.rs
@@ -6,10 +6,14 @@
 use std::collections::VecDeque;
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
+use redwingfold_core::MemoryPhase;
+
+use crate::request_memory::HeldMemory;
 
 /// Size of a segment.
 const SEGMENT_BYTES: usize = 8 * 1024;
@@ -39,14 +43,14 @@
         self.allocated - self.spare()
     }
 
-    /// Appends bytes. `reserve` is called with the memory of the whole body before more is allocated.
+    /// Moves bytes to the end of the body. `reserve` is called with the memory of the whole body before more is allocated.
     ///
     /// # Errors
     ///
-    /// The error of `reserve`.
+    /// The error of `reserve`; `data` has the bytes that are left.
     pub(crate) fn push<E>(
         &mut self,
-        mut data: &[u8],
+        data: &mut Bytes,
         reserve: impl Fn(usize) -> Result<(), E>,
     ) -> Result<(), E> {
         while !data.is_empty() {
@@ -57,9 +61,8 @@
                 let filled = std::mem::replace(&mut self.last, Vec::with_capacity(capacity));
                 self.full.extend((!filled.is_empty()).then(|| filled.into()));
             }
-            let (part, rest) = data.split_at(data.len().min(self.spare()));
-            self.last.extend_from_slice(part);
-            data = rest;
+            let part = data.split_to(data.len().min(self.spare()));
+            self.last.extend_from_slice(&part);
         }
         Ok(())
     }
@@ -67,9 +70,9 @@
     /// Returns the whole body.
     pub(crate) fn finish(self) -> WholeBody {
         let len = self.len();
-        let Self { full: mut segments, last, .. } = self;
+        let Self { full: mut segments, last, allocated, .. } = self;
         segments.extend((!last.is_empty()).then(|| last.into()));
-        WholeBody { segments, len }
+        WholeBody { segments, len, allocated }
     }
 
     /// Returns the bytes that fit into the last segment.
@@ -92,9 +95,21 @@
 pub(crate) struct WholeBody {
     segments: Vec<Bytes>,
     len: usize,
+    /// Capacity of all segments.
+    allocated: usize,
 }
 
 impl WholeBody {
+    /// Returns the memory that it takes up.
+    pub(crate) fn allocated(&self) -> usize {
+        self.allocated
+    }
+
+    /// Returns its segments.
+    pub(crate) fn into_segments(self) -> Vec<Bytes> {
+        self.segments
+    }
+
     /// Returns its segments in order.
     pub(crate) fn segments(&self) -> impl Iterator<Item = &[u8]> {
         self.segments.iter().map(|segment| &**segment)
@@ -106,6 +121,16 @@
 pub struct SegmentedBody {
     rest: VecDeque<Bytes>,
     len: usize,
+    /// Memory that is reserved for what is left.
+    memory: Option<Rc<HeldMemory>>,
+}
+
+impl SegmentedBody {
+    /// Returns the body of a response, whose memory is given back as its caller reads it.
+    pub(crate) fn for_caller(body: WholeBody, memory: Rc<HeldMemory>) -> Self {
+        memory.set_phase(MemoryPhase::Sending);
+        Self { memory: Some(memory), ..body.into() }
+    }
 }
 
 impl From<Bytes> for SegmentedBody {
@@ -115,13 +140,13 @@
             let segment = bytes.split_to(bytes.len().min(SEGMENT_BYTES));
             (!segment.is_empty()).then_some(segment)
         });
-        Self { rest: segments.collect(), len }
+        Self { rest: segments.collect(), len, memory: None }
     }
 }
 
 impl From<WholeBody> for SegmentedBody {
     fn from(body: WholeBody) -> Self {
-        Self { len: body.len, rest: body.segments.into() }
+        Self { len: body.len, rest: body.segments.into(), memory: None }
     }
 }
 
@@ -134,7 +159,12 @@
         _cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
         let next = self.rest.pop_front();
-        self.len -= next.as_ref().map_or(0, Bytes::len);
+        let len = next.as_ref().map_or(0, Bytes::len);
+        self.len -= len;
+        if let Some(memory) = &self.memory {
+            memory.record_progress(len);
+            memory.shrink(self.len);
+        }
         Poll::Ready(next.map(|segment| Ok(Frame::data(segment))))
     }
 
