fix(telemetry): values in log lines are shortened

What callers saw: nothing of their own; up to 2,048 lines wait for a slow reader of the output, and callers chose how long they are: ids, sessions, prompt parts, hosts and paths, up to the size of a head. That is some 30 MB by heads of 16 kB, where the queue was meant to hold a megabyte.

Evidence: log_lines_do_not_grow_with_what_callers_send: lines of 4,950 bytes for heads with 3 kB values.

Change: a value has 512 bytes in a log line, and its length if it is cut. Result: the test passes.

--- a/telemetry/src/lib.rs
+++ b/telemetry/src/lib.rs
@@ -17,6 +17,9 @@
 /// Log lines queued for a slow reader of the output, about a megabyte at most.
 const MAX_QUEUED_LINES: usize = 2048;
 
+/// Longest value in a log line. Callers choose some of the values, ids for instance.
+const MAX_VALUE_BYTES: usize = 512;
+
 const METRICS_PREFIX: &str = "redwingfold";
 
 /// The process's logger and metrics.
@@ -144,8 +147,12 @@
     Ok(logger.sink(sink).flush_level_filter(spdlog::LevelFilter::All).build()?)
 }
 
-/// Quotes a value that is empty or contains whitespace, control characters, `"` or `=`.
+/// Quotes a value that is empty or contains whitespace, control characters, `"` or `=`, and shortens a long one.
 fn quoted(text: &str) -> String {
+    if text.len() > MAX_VALUE_BYTES {
+        let kept = &text[..text.floor_char_boundary(MAX_VALUE_BYTES)];
+        return format!("{}...({} bytes)", quoted(kept), text.len());
+    }
     let is_plain = |c: char| !c.is_whitespace() && !c.is_control() && c != '"' && c != '=';
     if !text.is_empty() && text.chars().all(is_plain) {
         text.to_owned()
