--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -24,6 +24,7 @@
 use crate::exchange::{EncodedServers, OrderSnapshots, StoredVersions};
 use crate::feeds::{Feed, Feeds, ServerChange};
 use crate::load::LoadTable;
+use crate::log_rate::LogRate;
 use crate::metadata::HeaderCodec;
 use crate::quarantine::TrialClaim;
 use crate::request_memory::MemoryAccount;
@@ -80,6 +81,8 @@
     pub(crate) pool: ConnectionPool,
     pub(crate) connections: OpenConnections,
     pub(crate) memory: Rc<MemoryAccount>,
+    /// Limits the log lines on refused requests.
+    pub(crate) refusal_log_rate: LogRate,
     pub(crate) in_flight: Cell<usize>,
     catalog: RefCell<Option<Rc<Catalog>>>,
     pub(crate) registry: RefCell<Registry>,
@@ -183,6 +186,7 @@
             pool,
             connections,
             memory,
+            refusal_log_rate: LogRate::default(),
             in_flight: Cell::new(0),
             catalog: RefCell::new(None),
             registry: RefCell::new(Registry::new(RegistryPolicy::default())),
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -66,25 +66,9 @@
 ) -> Result<GatewayResponse, RequestError> {
     let received_at = gw.now();
     let mut id = String::new();
+    let admitted = admit(gw, connection, head, body, &mut id).await;
     let (catalog, route, customer, metadata, parts) =
-        match admit(gw, connection, head, body, &mut id).await {
-            Ok(admitted) => admitted,
-            Err(failed) => {
-                gw.telemetry.count("request.refused", 1);
-                let config = gw.catalog().map_or(0, |catalog| catalog.version);
-                gw.telemetry.info(
-                    "request_refused",
-                    &[
-                        ("request", &id),
-                        ("kind", &failed.kind),
-                        ("why", &failed.why),
-                        ("config", &config),
-                        ("took_ms", &gw.now().since(received_at)),
-                    ],
-                );
-                return Err(failed);
-            }
-        };
+        admitted.inspect_err(|failed| record_refusal(gw, &id, failed, received_at))?;
     let request =
         InFlightRequest::new(gw.clone(), catalog, route, customer, metadata, parts, received_at);
     match Box::pin(request.execute()).await {
@@ -99,6 +83,25 @@
     }
 }
 
+fn record_refusal(gw: &Gateway, id: &str, failed: &RequestError, received_at: Millis) {
+    gw.telemetry.count("request.refused", 1);
+    gw.telemetry.count(&format!("request.refused.{}", failed.kind), 1);
+    let now = gw.now();
+    if gw.refusal_log_rate.take_line(now) {
+        let config = gw.catalog().map_or(0, |catalog| catalog.version);
+        gw.telemetry.info(
+            "request_refused",
+            &[
+                ("request", &id),
+                ("kind", &failed.kind),
+                ("why", &failed.why),
+                ("config", &config),
+                ("took_ms", &now.since(received_at)),
+            ],
+        );
+    }
+}
+
 type Admitted = (Rc<Catalog>, Rc<Route>, Option<Customer>, RequestMetadata, RequestParts);
 
 /// Reads a request and checks that it is valid and allowed, as far as possible before its body is received. Sets `id` as
