fix(http): connections without a request give their place to new ones

What callers saw: 503 too_many_open at the product's own port for as long as others that sent nothing, or stopped within a head, held all places.

Cause: as at the gateway, new connections were turned away whatever the open ones did.

Evidence: silent_connections_at_an_entry: no ordinary request is answered in 20 s beside 200 connections at an entry with 120 places.

Change: the server keeps its connections in the same table of the core.

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -3,6 +3,7 @@
 mod body;
 mod client;
 mod conn;
+mod places;
 mod server;
 
 pub use body::{BodySender, channel_body};
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -9,10 +9,12 @@
 use async_h1::server::{ConnectionStatus, Server};
 use futures_lite::{AsyncWriteExt, FutureExt};
 use http_types::{Request, Response, StatusCode, headers};
+use redwingfold_core::ConnectionPhase;
 use smol::Timer;
 use smol::net::{TcpListener, TcpStream};
 
 use crate::conn::{Conn, ConnState, MAX_HEAD_BYTES, Peer};
+use crate::places::{Place, Places};
 
 /// Limits on connections.
 #[derive(Clone, Copy, Debug)]
@@ -110,6 +112,7 @@
     Fut: Future<Output = Response> + Send + 'static,
     R: Fn(Refusal) -> Response + Clone + Send + Sync + 'static,
 {
+    let places = Arc::new(Places::new(limits.connections));
     loop {
         let Ok((stream, addr)) = listener.accept().await else {
             // Most likely out of file descriptors: wait for some to be closed instead of
@@ -121,13 +124,17 @@
         // request.
         stream.set_nodelay(true).ok();
         let (drain, handler, refuse) = (drain.clone(), handler.clone(), refuse.clone());
+        let place = places.open();
         smol::spawn(async move {
             let _open_guard = CountGuard::new(&drain.0.open_connections);
-            if drain.open_connections() > limits.connections {
-                write_refusal(stream, refuse(Refusal::TooManyOpen)).await;
-                return;
+            match place {
+                Some(place) => {
+                    let serving =
+                        serve_connection(stream, addr, limits, &place, &drain, refuse, handler);
+                    serving.or(place.wait_close()).await;
+                }
+                None => write_refusal(stream, refuse(Refusal::TooManyOpen)).await,
             }
-            serve_connection(stream, addr, limits, &drain, refuse, handler).await;
         })
         .detach();
     }
@@ -137,6 +144,7 @@
     stream: TcpStream,
     addr: SocketAddr,
     limits: Limits,
+    place: &Place,
     drain: &Drain,
     refuse: R,
     handler: F,
@@ -150,9 +158,11 @@
         let state = conn.state.clone();
         state.bytes_read.store(0, Ordering::Relaxed);
         state.is_head_read.store(false, Ordering::Relaxed);
+        place.set_phase(ConnectionPhase::Idle);
         let peer = Peer { conn: conn.clone(), addr };
         let endpoint = |req: Request| {
             state.is_head_read.store(true, Ordering::Relaxed);
+            place.set_phase(ConnectionPhase::Busy);
             // Boxed because a future is copied into each future that awaits it. An unboxed handler
             // future of tens of kilobytes took half a megabyte per connection and overflowed the
             // thread's stack.
@@ -178,6 +188,7 @@
         let refusal = match outcome {
             Some(Ok(ConnectionStatus::KeepAlive)) => continue,
             _ if is_head_read && state.skip_body.load(Ordering::Relaxed) => {
+                place.set_phase(ConnectionPhase::Closing);
                 close_gracefully(conn.stream.clone()).await;
                 break;
             }
