fix(entry): bodies are reserved before they are received

What callers saw: none yet; an entry of the product's own port would run out of memory as the gateway did.

Cause: up to 2,000 requests may each receive a body of 4 MiB; nothing counted their sum.

Change: the account of the core for the memory of requests, with limits.body_memory_bytes in the settings (32 of the largest bodies by default), twice a body, as a chat request keeps the text of its prompt as well. A request that does not fit is refused at once; a body that has stalled for a second gives way to others.

--- a/src/entry/chat.rs
+++ b/src/entry/chat.rs
@@ -11,6 +11,7 @@
 
 use super::attempt::{AttemptError, ResponsePart, ResponseStream, start_run};
 use super::auth::Caller;
+use super::body_memory::HeldBody;
 use super::context::{Entry, InFlightGuard};
 use super::decisions::DecisionTrace;
 use super::hints::prefix_hash;
@@ -85,6 +86,8 @@
     pub(crate) target: String,
     pub(crate) trace: DecisionTrace,
     pub(crate) deadline: Millis,
+    /// Memory that is reserved for it, until it ends.
+    pub(crate) _memory: HeldBody,
 }
 
 /// The response, and the values for its headers.
--- a/src/entry/context.rs
+++ b/src/entry/context.rs
@@ -7,6 +7,7 @@
 use redwingfold_core::{ErrorKind, RetryBudget};
 use redwingfold_http::Drain;
 
+use super::body_memory::BodyMemory;
 use super::claims::ClaimFolds;
 use super::decisions::Decisions;
 use super::hints::PrefixHints;
@@ -34,6 +35,7 @@
     retry_budget: Mutex<RetryBudget>,
     round_robin_counter: AtomicUsize,
     in_flight: AtomicUsize,
+    pub(crate) body_memory: Arc<BodyMemory>,
 }
 
 /// Counts a request as in flight until it is dropped.
@@ -66,6 +68,7 @@
             retry_budget: Mutex::new(RetryBudget::new(per_request, f64::from(retry.budget_max))),
             round_robin_counter: AtomicUsize::new(0),
             in_flight: AtomicUsize::new(0),
+            body_memory: Arc::new(BodyMemory::new(&settings.limits)),
             daemon,
             settings,
             client_config,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod auth;
+mod body_memory;
 mod chat;
 mod claims;
 mod connections;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -2,11 +2,15 @@
 
 use std::sync::{Arc, Mutex, PoisonError};
 
-use redwingfold_core::{Config, ErrorKind, Millis, RequestId, Spec, VersionName};
+use redwingfold_core::{
+    Config, CustomerName, ErrorKind, MemoryFull, MemoryOwner, Millis, RequestId, Spec, VersionName,
+};
 use redwingfold_http::{Peer, Request, Response};
 use serde_json::json;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::auth::{Caller, parse_caller};
+use super::body_memory::HeldBody;
 use super::chat::{ChatRequest, ChatRun};
 use super::context::{Entry, InFlightGuard};
 use super::decisions::DecisionTrace;
@@ -14,12 +18,16 @@
 use super::service_call::{ServiceCall, find_service};
 use super::sides::usable_links;
 use crate::clock::{unix_time, with_timeout};
+use crate::settings::LimitSettings;
 
 const CHAT_PATH: &str = "/v1/chat/completions";
 const LIVE_PATH: &str = "/healthz";
 const MODELS_PATH: &str = "/v1/models";
 const READY_PATH: &str = "/readyz";
 
+/// Number of bytes of a body that are read at once.
+const READ_BUFFER_BYTES: usize = 8 * 1024;
+
 /// Handles a caller's request and logs its outcome.
 pub(crate) async fn handle(entry: Arc<Entry>, req: Request, peer: Peer) -> Response {
     let metadata = ResponseMetadata::for_new_request();
@@ -51,7 +59,10 @@
                 format!("{} ({}): {}", error.kind, error.run_state, error.detail),
             );
             entry.daemon.telemetry.count("request.refused", 1);
-            if matches!(error.kind, ErrorKind::BodyTooLarge | ErrorKind::SlowSender) {
+            if matches!(
+                error.kind,
+                ErrorKind::BodyTooLarge | ErrorKind::SlowSender | ErrorKind::TooManyOpen
+            ) {
                 peer.skip_body();
             }
             (error_response(&error), error.kind.to_string())
@@ -109,7 +120,8 @@
         _ => return route_service_call(entry, &config, caller, req, peer, metadata, trace).await,
     }
     let target = path_and_query(&req);
-    let req = ChatRequest::parse(read_body(entry, &mut req).await?)?;
+    let (body, memory) = read_body(entry, &caller.customer, &mut req).await?;
+    let req = ChatRequest::parse(body)?;
     trace.set_request(caller.customer.as_str(), &req.model_name);
     let chat = Arc::new(ChatRun {
         entry: entry.clone(),
@@ -119,6 +131,7 @@
         target,
         trace: trace.clone(),
         deadline,
+        _memory: memory,
     });
     run_chat(&chat, peer, metadata, in_flight).await
 }
@@ -136,6 +149,7 @@
     let (service, spec) = find_service(config, &path)
         .ok_or_else(|| RequestError::new(ErrorKind::UnknownPath, path))?;
     let deadline = entry.daemon.now().after(caller.timeout);
+    let (body, memory) = read_body(entry, &caller.customer, &mut req).await?;
     let service_call = ServiceCall {
         entry: entry.clone(),
         caller,
@@ -143,9 +157,10 @@
         method: req.method().to_string(),
         target: path_and_query(&req),
         content_type: req.header("content-type").map(|v| v.as_str().to_owned()),
-        body: read_body(entry, &mut req).await?,
+        body,
         trace: trace.clone(),
         deadline,
+        _memory: memory,
     };
     let result = Box::pin(service_call.execute(&service, spec));
     until_deadline(entry, deadline, peer, result).await
@@ -193,32 +208,76 @@
     }
 }
 
-/// Reads a request's body within the configured size and time limits.
-async fn read_body(entry: &Entry, req: &mut Request) -> Result<Vec<u8>, RequestError> {
-    use smol::io::AsyncReadExt;
+/// Receives a request's body within the configured size and time limits. The returned memory is reserved until it is
+/// dropped.
+async fn read_body(
+    entry: &Entry,
+    customer: &CustomerName,
+    req: &mut Request,
+) -> Result<(Vec<u8>, HeldBody), RequestError> {
     let limits = &entry.settings.limits;
-    let too_large = || {
-        let detail = format!("at most {} bytes", limits.body_bytes);
-        RequestError::new(ErrorKind::BodyTooLarge, detail)
+    let content_length = req.len();
+    if content_length.is_some_and(|len| len > limits.body_bytes) {
+        return Err(too_large(limits));
+    }
+    let owner = MemoryOwner::Customer(xxh3_64(customer.as_str().as_bytes()) as u32);
+    let memory = entry.body_memory.open(owner, entry.daemon.now());
+    let memory = memory.map_err(|full| memory_error(entry, full))?;
+    let received = async {
+        let slow = || RequestError::new(ErrorKind::SlowSender, "the body took too long");
+        let collected = collect_body(entry, req, &memory);
+        with_timeout(limits.body_timeout_ms, collected).await.unwrap_or_else(|| Err(slow()))
     };
-    if req.len().is_some_and(|len| len > limits.body_bytes) {
-        return Err(too_large());
+    let evicted = async {
+        memory.wait_evicted().await;
+        entry.daemon.telemetry.count("request.memory_evicted", 1);
+        Err(RequestError::new(ErrorKind::SlowSender, "others need the memory of a slow body"))
+    };
+    let body = smol::future::or(evicted, received).await?;
+    if content_length.is_some_and(|len| len != body.len()) {
+        return Err(RequestError::new(ErrorKind::BadRequest, "body is shorter than announced"));
     }
-    let content_length = req.len();
-    let mut body = Vec::new();
-    let reader = req.take_body().into_reader();
-    let mut reader = reader.take(limits.body_bytes as u64 + 1);
-    match with_timeout(limits.body_timeout_ms, reader.read_to_end(&mut body)).await {
-        None => Err(RequestError::new(ErrorKind::SlowSender, "the body took too long")),
-        Some(Err(e)) => Err(RequestError::new(ErrorKind::BadRequest, format!("body: {e}"))),
-        Some(Ok(_)) if body.len() > limits.body_bytes => Err(too_large()),
-        Some(Ok(n)) if content_length.is_some_and(|len| len != n) => {
-            Err(RequestError::new(ErrorKind::BadRequest, "body is shorter than announced"))
-        }
-        Some(Ok(_)) => Ok(body),
+    memory.record_whole(entry.daemon.now());
+    Ok((body, memory))
+}
+
+async fn collect_body(
+    entry: &Entry,
+    req: &mut Request,
+    memory: &HeldBody,
+) -> Result<Vec<u8>, RequestError> {
+    use smol::io::AsyncReadExt;
+    let limits = &entry.settings.limits;
+    let mut reader = req.take_body().into_reader();
+    let (mut body, mut buf) = (Vec::new(), vec![0; READ_BUFFER_BYTES]);
+    loop {
+        let broken = |e| RequestError::new(ErrorKind::BadRequest, format!("body: {e}"));
+        let len = match reader.read(&mut buf).await.map_err(broken)? {
+            0 => return Ok(body),
+            len if body.len() + len > limits.body_bytes => return Err(too_large(limits)),
+            len => len,
+        };
+        let needed = body.len() + len;
+        let capacity = match body.capacity() {
+            enough if enough >= needed => enough,
+            doubled => needed.max((2 * doubled).min(limits.body_bytes)),
+        };
+        let resized = memory.resize(capacity, len, entry.daemon.now());
+        resized.map_err(|full| memory_error(entry, full))?;
+        body.reserve_exact(capacity - body.len());
+        body.extend_from_slice(&buf[..len]);
     }
 }
 
+fn memory_error(entry: &Entry, _: MemoryFull) -> RequestError {
+    entry.daemon.telemetry.count("request.memory_full", 1);
+    RequestError::new(ErrorKind::TooManyOpen, "requests take up the memory for them")
+}
+
+fn too_large(limits: &LimitSettings) -> RequestError {
+    RequestError::new(ErrorKind::BodyTooLarge, format!("at most {} bytes", limits.body_bytes))
+}
+
 fn readiness(entry: &Entry) -> Response {
     let not_ready_reason = match entry {
         e if e.drain.is_draining() => Some(ErrorKind::Stopping),
--- a/src/entry/service_call.rs
+++ b/src/entry/service_call.rs
@@ -10,6 +10,7 @@
 
 use super::attempt::{AttemptError, start_run};
 use super::auth::Caller;
+use super::body_memory::HeldBody;
 use super::claims::{ClaimResult, claim_call};
 use super::context::Entry;
 use super::decisions::DecisionTrace;
@@ -32,6 +33,8 @@
     pub(crate) body: Vec<u8>,
     pub(crate) trace: DecisionTrace,
     pub(crate) deadline: Millis,
+    /// Memory that is reserved for it, until it ends.
+    pub(crate) _memory: HeldBody,
 }
 
 /// Finds the service whose path is the longest prefix of `path`.
--- a/src/settings/entry.rs
+++ b/src/settings/entry.rs
@@ -109,6 +109,8 @@
     pub requests: usize,
     /// Largest body of a request, in bytes.
     pub body_bytes: usize,
+    /// Memory for the bodies of all requests together, in bytes; 32 of the largest if absent.
+    pub body_memory_bytes: Option<usize>,
     /// Timeout for reading the head of a request. It also bounds the idle time between two
     /// requests.
     pub head_timeout_ms: Millis,
@@ -133,6 +135,7 @@
             connections: 4_000,
             requests: 2_000,
             body_bytes: 4 * 1024 * 1024,
+            body_memory_bytes: None,
             head_timeout_ms: Millis(10_000),
             body_timeout_ms: Millis(15_000),
             default_deadline_ms: Millis(60_000),
