fix(gateway): peers that connect at the same moment keep their connections

Cause: its 8 places were meant as a bound on copies that are written at the same time, and since a connection whose request is still on its way was closed for the ninth.

--- a/core/src/serving/caller_connections.rs
+++ b/core/src/serving/caller_connections.rs
@@ -87,6 +87,11 @@
         self.open.len()
     }
 
+    /// Returns the number of connections with a request in progress.
+    pub fn busy(&self) -> usize {
+        self.open.values().filter(|connection| connection.phase == ConnectionPhase::Busy).count()
+    }
+
     /// Adds a new connection if there is a place for it.
     pub fn open(&mut self, now: Millis) -> ConnectionAdmission {
         let closed = match self.count() < self.max {
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -58,6 +58,11 @@
         self.0.connections.borrow().count()
     }
 
+    /// Returns the number of connections with a request in progress.
+    pub(crate) fn busy(&self) -> usize {
+        self.0.connections.borrow().busy()
+    }
+
     /// Returns the place of a new connection, for which another one may have to be closed; `None` if all are needed.
     pub(crate) fn open(&self) -> Option<CallerConnection> {
         let places = &self.0;
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -93,7 +93,7 @@
 pub use rollout_report::{RolloutReport, StoredStatus};
 pub use rollouts::{DueStatus, Rollouts};
 pub use segments::SegmentedBody;
-pub use serve::{serve_callers, serve_pages};
+pub use serve::{PageLimits, serve_callers, serve_pages};
 pub use session_keepers::send_session_messages;
 pub use settings::GatewaySettings;
 pub use upstream::{CallError, HttpConnection, ResponseReader};
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -145,24 +145,38 @@
     }
 }
 
-/// Serves pages on at most `max` concurrent connections. If all are taken, one without a request is closed for a new one.
-/// `page` returns the response for a URI, or `None` for status 404.
+/// Limits of a listener for pages.
+#[derive(Clone, Copy, Debug)]
+pub struct PageLimits {
+    /// Maximum number of open connections. If all are taken, one without a request is closed for a new one.
+    pub connections: usize,
+    /// Maximum number of responses that are written at the same time. Further requests are refused.
+    pub responses: usize,
+}
+
+/// Serves pages. `page` returns the response for a URI, or `None` for status 404.
 pub async fn serve_pages(
     gw: Rc<Gateway>,
     listener: TcpListener,
-    max: usize,
+    limits: PageLimits,
     page: impl Fn(&Uri) -> Option<GatewayResponse> + Clone + 'static,
 ) {
     set_listener_options(&gw, &listener);
-    let open = OpenConnections::new("pages", max, gw.telemetry.clone());
+    let open = OpenConnections::new("pages", limits.connections, gw.telemetry.clone());
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             sleep(ACCEPT_RETRY_DELAY).await;
             continue;
         };
         if let Some(connection) = open.open() {
-            let (gateway, page) = (gw.clone(), page.clone());
-            gw.spawn(async move { serve_page_requests(&gateway, stream, connection, page).await });
+            let (gateway, open, page) = (gw.clone(), open.clone(), page.clone());
+            gw.spawn(async move {
+                let page = |uri: &Uri| match open.busy() <= limits.responses {
+                    true => page(uri),
+                    false => Some(text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n")),
+                };
+                serve_page_requests(&gateway, stream, connection, page).await;
+            });
         }
         // Each connection is read before the next one may take its place.
         smol::future::yield_now().await;
