fix(gateway): heads count for the memory of requests

A request in progress holds its head twice: the bytes that were received, which its headers are slices of, and those that are sent to a server.

Change: twice the size of the head is reserved as well.

--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -125,7 +125,7 @@
             (catalog.limits, memory_owner(&catalog, customer.as_ref()))
         }
     };
-    let memory = gw.memory.open(owner, connection).map_err(full_error)?;
+    let memory = gw.memory.open(owner, head_bytes(&head), connection).map_err(full_error)?;
     let body = receive_body(body, &limits, &memory).await?;
     // Fetched again after the body, so that a slowly sent request is not processed with an outdated configuration.
     let catalog = wait_for_catalog(gw, &metadata).await?;
@@ -144,6 +144,12 @@
     Ok((catalog, route, customer, metadata, parts))
 }
 
+/// Returns the size of a head.
+fn head_bytes(head: &Parts) -> usize {
+    let headers = head.headers.iter().map(|(name, value)| name.as_str().len() + value.len());
+    headers.sum::<usize>() + head.uri.path().len() + head.uri.query().map_or(0, str::len)
+}
+
 /// Returns the host that a request is for; empty if it names none.
 fn host(head: &Parts) -> &str {
     let host = head.headers.get(HOST).and_then(|v| v.to_str().ok());
--- a/gateway/src/request_memory.rs
+++ b/gateway/src/request_memory.rs
@@ -15,6 +15,9 @@
 use crate::clock::Clock;
 use crate::log_rate::LogRate;
 
+/// Copies of a head that a request holds: the one that was received, and the one that is sent.
+const HEAD_COPIES: usize = 2;
+
 /// The account of all requests of a gateway.
 #[derive(Debug)]
 pub(crate) struct MemoryAccount {
@@ -38,6 +41,8 @@
     account: Rc<MemoryAccount>,
     number: HolderNumber,
     state: Rc<HolderState>,
+    /// Bytes that are reserved for its head.
+    head: usize,
 }
 
 impl MemoryAccount {
@@ -50,7 +55,7 @@
         }
     }
 
-    /// Reserves memory for a request whose head was received.
+    /// Reserves memory for a request whose head of `head` bytes was received.
     ///
     /// # Errors
     ///
@@ -58,6 +63,7 @@
     pub(crate) fn open(
         self: &Rc<Self>,
         owner: MemoryOwner,
+        head: usize,
         connection: &Rc<CallerConnection>,
     ) -> Result<HeldMemory, MemoryFull> {
         let opened = self.memory.borrow_mut().open(owner, Clock.now());
@@ -69,7 +75,9 @@
             connection: connection.clone(),
         });
         self.holders.borrow_mut().insert(number, state.clone());
-        Ok(HeldMemory { account: self.clone(), number, state })
+        let held = HeldMemory { account: self.clone(), number, state, head: HEAD_COPIES * head };
+        held.resize(0)?;
+        Ok(held)
     }
 
     /// Updates the gauges of the memory in use.
@@ -121,6 +129,7 @@
     ///
     /// [`MemoryFull`] if there is not enough; the request keeps what it has.
     pub(crate) fn resize(&self, bytes: usize) -> Result<(), MemoryFull> {
+        let bytes = self.head + bytes;
         let resized = self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now());
         let evicted = resized.inspect_err(|_| self.account.record_full("body", bytes))?;
         self.account.evict(evicted);
@@ -130,17 +139,18 @@
     /// Gives back what the request needs no longer.
     pub(crate) fn shrink(&self, bytes: usize) {
         // Less memory is always granted.
-        self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now()).ok();
+        self.resize(bytes).ok();
     }
 
     /// Gives back a part of what is reserved for the body and the response.
     pub(crate) fn release(&self, bytes: usize) {
         let reserved = self.account.memory.borrow().reserved(self.number);
-        self.shrink(reserved.0.saturating_sub(bytes));
+        self.shrink(reserved.0.saturating_sub(self.head + bytes));
     }
 
     /// Returns an error if the request could not get `bytes` now.
     pub(crate) fn check_room(&self, bytes: usize) -> Result<(), MemoryFull> {
+        let bytes = self.head + bytes;
         match self.account.memory.borrow().has_room(self.number, bytes, Clock.now()) {
             true => Ok(()),
             false => {
