--- a/soak/src/bin/redwingfold-soak.rs
+++ b/soak/src/bin/redwingfold-soak.rs
@@ -46,6 +46,9 @@
     /// Let engines report limits, announce that they are leaving, or refuse requests with Retry-After.
     #[arg(long)]
     reports: bool,
+    /// Let crowds of callers misbehave beside the others, at gateways with lowered limits.
+    #[arg(long)]
+    crowds: bool,
     /// Directory for the logs of seeds that violated a guarantee.
     #[arg(long, default_value = "results")]
     logs: PathBuf,
@@ -78,6 +81,7 @@
             restores: args.restores,
             domains: args.domains,
             reports: args.reports,
+            crowds: args.crowds,
         };
         let outcome = run_seed(&settings);
         println!(
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 //! processes still varies.
 
 mod checks;
+mod crowds;
 mod deadly;
 mod domains;
 mod faults;
--- a/soak/src/run.rs
+++ b/soak/src/run.rs
@@ -9,6 +9,7 @@
 use redwingfold_standins::platform::{Arrival, Conn, Got, StoreFault, message};
 
 use crate::checks::{RequestRecord, violations};
+use crate::crowds;
 use crate::deadly;
 use crate::domains::Domains;
 use crate::faults::{clear_link_faults, inject, schedule};
@@ -42,6 +43,8 @@
     pub domains: bool,
     /// Whether engines report limits, announce that they are leaving, or refuse requests with `Retry-After`.
     pub reports: bool,
+    /// Whether crowds of callers misbehave beside the others, at gateways with lowered limits.
+    pub crowds: bool,
 }
 
 /// Result of a run.
@@ -118,6 +121,16 @@
                 }
             });
         }
+        if settings.crowds {
+            let (stop, addresses) = (&stop, &addresses);
+            let mut rng = fastrand::Rng::with_seed(settings.seed);
+            scope.spawn(move || {
+                while !stop.load(Ordering::SeqCst) {
+                    let all = addresses.lock().expect("no caller panics").clone();
+                    crowds::play(&mut rng, &all);
+                }
+            });
+        }
         let mut restores = Restores::new(settings.seed);
         let mut domains = Domains::new(settings.seed);
         for scheduled in scheduled {
@@ -140,6 +153,9 @@
             }
             reports.record_fault(&testbed, scheduled.fault, started_at);
             *addresses.lock().expect("no caller panics") = self::addresses(&testbed);
+            if settings.crowds {
+                outcome.broken.extend(crowds::check_memory(&testbed));
+            }
         }
         stop.store(true, Ordering::SeqCst);
     });
@@ -159,7 +175,9 @@
         outcome.broken.extend(deadly::check_refused(&mut testbed, settings.seed));
     }
     let mut records = records.into_inner().expect("no caller panics");
-    let is_checked = |a: &Arrival| !a.id().starts_with("after") && !deadly::is_deadly(a);
+    let is_checked = |a: &Arrival| {
+        !a.id().starts_with("after") && !a.id().starts_with("crowd") && !deadly::is_deadly(a)
+    };
     let arrivals: Vec<_> = testbed.fleet.arrivals().into_iter().filter(is_checked).collect();
     records.sort_by(|a, b| a.id.cmp(&b.id));
     outcome.requests = records.len();
--- a/soak/src/testbed.rs
+++ b/soak/src/testbed.rs
@@ -121,6 +121,9 @@
             if idle_routes > 0 { LinkFault::Rate(SLOW_STORE_BYTES_PER_S) } else { LinkFault::None };
         let mut config = Config { idle_routes, ..Config::default() };
         let mut fleet = fleet;
+        if settings.crowds {
+            fleet.limits = crate::crowds::limits();
+        }
         if settings.domains {
             let cold = |name| {
                 json!({
--- a/standins/src/platform/crowd.rs
+++ b/standins/src/platform/crowd.rs
@@ -9,6 +9,9 @@
 
 use super::fleet::wait_for;
 
+/// Time after which a caller gives up connecting.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
+
 /// Time after which a caller that cannot write stops sending, and keeps its connection open.
 const WRITE_TIMEOUT: Duration = Duration::from_millis(500);
 
@@ -123,7 +126,7 @@
 }
 
 fn run(addr: SocketAddr, n: usize, script: &Script, shared: &Shared) {
-    let stream = TcpStream::connect(addr);
+    let stream = TcpStream::connect_timeout(&addr, CONNECT_TIMEOUT);
     if let Ok(stream) = &stream {
         stream.set_nodelay(true).ok();
         stream.set_write_timeout(Some(WRITE_TIMEOUT)).ok();
