refactor(gateway): responses that are forwarded as they arrive have modules of their own

The channel to a caller and the responses without a buffer leave relay.rs. Refusals for want of memory are recorded where a request is refused; a response that is not buffered is none.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 mod admission_tests;
 mod attempt;
 mod availability;
+mod caller_channel;
 mod caller_connection;
 mod caller_stream;
 mod capacity_loans;
@@ -71,6 +72,7 @@
 mod settings;
 mod start;
 mod turns;
+mod unbuffered;
 mod upstream;
 
 pub use clock::Clock;
--- a/gateway/src/relay.rs
+++ b/gateway/src/relay.rs
@@ -1,26 +1,16 @@
 //! Forwards a streamed response, and resumes it at another server when it breaks off.
 
 use std::io;
-use std::pin::Pin;
-use std::rc::Rc;
-use std::task::{Context, Poll, ready};
 
-use async_channel::{Receiver, SendError, Sender, bounded};
-use bytes::Bytes;
-use futures_lite::Stream;
-use http_body::Frame;
-use redwingfold_core::{Awaited, EventSplitter, MemoryPhase, Millis, ResendReason, SilenceWatch};
+use redwingfold_core::{Awaited, EventSplitter, Millis, ResendReason, SilenceWatch};
 
 use crate::attempt::{BodyRead, SILENCE_POLL_INTERVAL, UpstreamResponse};
-use crate::clock::{sleep, within};
-use crate::request::{CALLER_GONE, InFlightRequest};
-use crate::request_memory::HeldMemory;
+use crate::caller_channel::{CallerSender, caller_channel, own_copy};
+use crate::clock::sleep;
+use crate::request::InFlightRequest;
 use crate::response::{GatewayResponse, forwarded_response};
 use crate::rollouts::AnswerSignal;
 
-/// Capacity of the buffer between server and caller; a full one applies backpressure to the server.
-const MAX_BUFFERED_CHUNKS: usize = 4;
-
 /// Duration of a stream that shows that the request does not terminate servers; those that do take a few tenths of a second.
 const SURVIVAL_TIME: Millis = Millis(500);
 
@@ -46,65 +36,6 @@
     res
 }
 
-/// Starts forwarding a plain response as it arrives, for want of memory to buffer it. `begun` was received already.
-pub(crate) fn start_unbuffered(
-    mut request: InFlightRequest,
-    mut response: Box<UpstreamResponse>,
-    begun: Vec<Bytes>,
-) -> GatewayResponse {
-    request.is_answer_begun = true;
-    request.drop_body();
-    request.gw.telemetry.count("memory.unbuffered_responses", 1);
-    let (tx, body) = caller_channel(&request.memory);
-    let res = forwarded_response(&response, Box::pin(body));
-    let gw = request.gw.clone();
-    gw.spawn(async move {
-        let forwarded =
-            smol::future::or(forward_rest(&request, &mut response, begun, &tx), async {
-                tx.closed().await;
-                Err(CALLER_GONE.to_owned())
-            });
-        match forwarded.await {
-            Ok(()) => request.record_whole_response(&mut response),
-            Err(why) => {
-                let error = io::Error::new(io::ErrorKind::ConnectionAborted, why.clone());
-                tx.send(Err(error)).await.ok();
-                request.record_outcome(why);
-            }
-        }
-    });
-    res
-}
-
-async fn forward_rest(
-    request: &InFlightRequest,
-    response: &mut UpstreamResponse,
-    begun: Vec<Bytes>,
-    tx: &CallerSender,
-) -> Result<(), String> {
-    let max = request.max_response_bytes();
-    let mut forwarded = 0;
-    let mut begun = begun.into_iter();
-    loop {
-        let chunk = match begun.next() {
-            Some(chunk) => chunk,
-            None => match within(request.time_left(), response.read_next()).await {
-                None => return Err("deadline".to_owned()),
-                Some(BodyRead::End) => return Ok(()),
-                Some(BodyRead::Broken(why)) => return Err(why),
-                Some(BodyRead::Chunk(chunk)) => chunk,
-            },
-        };
-        forwarded += chunk.len();
-        if forwarded > max {
-            return Err(format!("an answer of more than {max} bytes"));
-        }
-        if tx.send(Ok(own_copy(&chunk))).await.is_err() {
-            return Err(CALLER_GONE.to_owned());
-        }
-    }
-}
-
 struct Relay {
     request: InFlightRequest,
     events: EventSplitter,
@@ -336,58 +267,3 @@
         Some(Millis(now.since(first).0 / (self.count as u64 - 1)))
     }
 }
-
-/// Returns a copy of received bytes, as a slice would keep the whole buffer that it was read into.
-fn own_copy(chunk: &Bytes) -> Bytes {
-    Bytes::copy_from_slice(chunk)
-}
-
-/// Returns the two ends of a response that is forwarded as it arrives.
-fn caller_channel(memory: &Rc<HeldMemory>) -> (CallerSender, ChannelBody) {
-    let (tx, rx) = bounded(MAX_BUFFERED_CHUNKS);
-    let body = ChannelBody { rx: Box::pin(rx), memory: memory.clone() };
-    (CallerSender { tx, memory: memory.clone() }, body)
-}
-
-/// The sending end, which records that the caller has something to read.
-struct CallerSender {
-    tx: Sender<io::Result<Bytes>>,
-    memory: Rc<HeldMemory>,
-}
-
-impl CallerSender {
-    /// Sends a chunk, or waits until the caller has read enough; an error if it is gone.
-    async fn send(&self, chunk: io::Result<Bytes>) -> Result<(), SendError<io::Result<Bytes>>> {
-        if self.tx.is_empty() {
-            self.memory.set_phase(MemoryPhase::Sending);
-        }
-        self.tx.send(chunk).await
-    }
-
-    /// Waits until the caller is gone.
-    async fn closed(&self) {
-        self.tx.closed().await;
-    }
-}
-
-struct ChannelBody {
-    rx: Pin<Box<Receiver<io::Result<Bytes>>>>,
-    memory: Rc<HeldMemory>,
-}
-
-impl http_body::Body for ChannelBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let next = ready!(self.rx.as_mut().poll_next(cx));
-        match self.rx.is_empty() {
-            true => self.memory.set_phase(MemoryPhase::Working),
-            false => self.memory.record_progress(1),
-        }
-        Poll::Ready(next.map(|chunk| chunk.map(Frame::data)))
-    }
-}
--- a/gateway/src/request.rs
+++ b/gateway/src/request.rs
@@ -231,7 +231,7 @@
         match Box::pin(self.relay_whole(response)).await {
             Ok(WholeResponse::Buffered(answer)) => Ok(answer),
             Ok(WholeResponse::TooLarge(response, begun)) => {
-                Ok(crate::relay::start_unbuffered(self, response, begun))
+                Ok(crate::unbuffered::start(self, response, begun))
             }
             Err(failed) => Err((Box::new(self), failed)),
         }
--- a/gateway/src/request_body.rs
+++ b/gateway/src/request_body.rs
@@ -23,7 +23,8 @@
         return Err(too_large(limits));
     }
     let received = async {
-        memory.check_room(announced.unwrap_or(0)).map_err(full_error)?;
+        let needed = announced.unwrap_or(0);
+        memory.check_room(needed).map_err(|full| refuse(memory, needed, full))?;
         let slow = || RequestError::new(ErrorKind::SlowSender, "the body took too long");
         let collected = collect(body, announced, limits, memory);
         within(limits.idle_timeout, collected).await.unwrap_or_else(|| Err(slow()))
@@ -49,7 +50,8 @@
             return Err(too_large(limits));
         }
         memory.record_progress(data.len());
-        received.push(&mut data, |bytes| memory.resize(bytes)).map_err(full_error)?;
+        let reserve = |bytes| memory.resize(bytes).map_err(|full| refuse(memory, bytes, full));
+        received.push(&mut data, reserve)?;
     }
     Ok(received.finish())
 }
@@ -74,6 +76,11 @@
     RequestError { retry_after: Some(random_retry_after()), ..failed }
 }
 
+fn refuse(memory: &HeldMemory, bytes: usize, full: MemoryFull) -> RequestError {
+    memory.record_refusal(bytes);
+    full_error(full)
+}
+
 fn eviction_error(why: Eviction) -> RequestError {
     let kind = match why {
         Eviction::HeavyCustomer => ErrorKind::TooManyOpen,
--- a/gateway/src/request_memory.rs
+++ b/gateway/src/request_memory.rs
@@ -66,8 +66,17 @@
         head: usize,
         connection: &Rc<CallerConnection>,
     ) -> Result<HeldMemory, MemoryFull> {
-        let opened = self.memory.borrow_mut().open(owner, Clock.now());
-        let (number, evicted) = opened.inspect_err(|_| self.record_full("request", 0))?;
+        let held = self.hold(owner, head, connection);
+        held.inspect_err(|_| self.record_refusal("request", head))
+    }
+
+    fn hold(
+        self: &Rc<Self>,
+        owner: MemoryOwner,
+        head: usize,
+        connection: &Rc<CallerConnection>,
+    ) -> Result<HeldMemory, MemoryFull> {
+        let (number, evicted) = self.memory.borrow_mut().open(owner, Clock.now())?;
         self.evict(evicted);
         let state = Rc::new(HolderState {
             eviction: Cell::default(),
@@ -105,7 +114,7 @@
         }
     }
 
-    fn record_full(&self, what: &str, bytes: usize) {
+    fn record_refusal(&self, what: &str, bytes: usize) {
         self.telemetry.count(&format!("memory.refused.{what}"), 1);
         if self.log_rate.take_line(Clock.now()) {
             let memory = self.memory.borrow();
@@ -131,11 +140,15 @@
     pub(crate) fn resize(&self, bytes: usize) -> Result<(), MemoryFull> {
         let bytes = self.head + bytes;
         let resized = self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now());
-        let evicted = resized.inspect_err(|_| self.account.record_full("body", bytes))?;
-        self.account.evict(evicted);
+        self.account.evict(resized?);
         Ok(())
     }
 
+    /// Records that the request is refused, as there is no memory for `bytes` of its body.
+    pub(crate) fn record_refusal(&self, bytes: usize) {
+        self.account.record_refusal("body", bytes);
+    }
+
     /// Gives back what the request needs no longer.
     pub(crate) fn shrink(&self, bytes: usize) {
         // Less memory is always granted.
@@ -151,13 +164,8 @@
     /// Returns an error if the request could not get `bytes` now.
     pub(crate) fn check_room(&self, bytes: usize) -> Result<(), MemoryFull> {
         let bytes = self.head + bytes;
-        match self.account.memory.borrow().has_room(self.number, bytes, Clock.now()) {
-            true => Ok(()),
-            false => {
-                self.account.record_full("body", bytes);
-                Err(MemoryFull)
-            }
-        }
+        let has_room = self.account.memory.borrow().has_room(self.number, bytes, Clock.now());
+        has_room.then_some(()).ok_or(MemoryFull)
     }
 
     /// Records whom the request belongs to.
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -86,7 +86,8 @@
         let is_refused = |e: &hyper::Error| e.is_parse() || e.is_parse_too_large();
         if connection.has_unread_body() || ended.as_ref().is_err_and(is_refused) {
             connection.record_closing();
-            discard_rest(stream).await;
+            // Boxed, as its buffer would enlarge the state of every connection.
+            Box::pin(discard_rest(stream)).await;
         }
         if let Err(e) = ended {
             let why = crate::upstream::error_chain(&e);
