--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -64,6 +64,8 @@
 mod rollout_status_tests;
 mod rollouts;
 mod segments;
+#[cfg(test)]
+mod segments_tests;
 mod serve;
 mod server_choice;
 mod server_list;
