fix(gateway): each limit that acts is counted and logged, and no event hides another

What operators saw: nothing of several limits. A caller that still sends when the time for discarding is over, a slow head and too many responses at the ports for pages had no metric or no line, and a response that is not buffered had no line. Evictions had a line that did not appear.

Cause of the last: refusals and evictions shared one bound of 50 lines a second, and a crowd that is refused uses it up.

Change: the bound is counted by event; the missing counters and lines are added.

--- a/gateway/src/admission.rs
+++ b/gateway/src/admission.rs
@@ -291,7 +291,7 @@
         );
         self.telemetry.count(&format!("admission.refused.{why}"), 1);
         self.telemetry.count("admission.promised", 1);
-        if self.admissions.log_rate.take_line(now) {
+        if self.admissions.log_rate.take_line("admission_refused", now) {
             self.telemetry.info(
                 "admission_refused",
                 &[
@@ -319,7 +319,7 @@
     fn log_wait(&self, facts: &AdmissionFacts, began: Millis, ahead: usize) {
         let now = self.now();
         self.telemetry.count("admission.sent_after_wait", 1);
-        if self.admissions.log_rate.take_line(now) {
+        if self.admissions.log_rate.take_line("admission_waited", now) {
             self.telemetry.info(
                 "admission_waited",
                 &[
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::rc::Rc;
 
 use event_listener::Event;
@@ -53,6 +54,17 @@
         }))
     }
 
+    /// Counts that a limit of the listener or of one of its connections has acted, and logs it.
+    pub(crate) fn record_limit(&self, limit: &'static str) {
+        let Places { kind, telemetry, log_rate, .. } = &*self.0;
+        telemetry.count(&format!("{kind}.{limit}"), 1);
+        if log_rate.take_line(limit, Clock.now()) {
+            let pairs: &[(&str, &dyn Display)] =
+                &[("listener", kind), ("limit", &limit), ("open", &self.count())];
+            telemetry.warn("connection_limit", pairs);
+        }
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
         self.0.connections.borrow().count()
@@ -70,13 +82,13 @@
         let number = match admission {
             ConnectionAdmission::Admitted(number) => number,
             ConnectionAdmission::InsteadOf(number, closed) => {
-                places.record("closed_for_new");
+                self.record_limit("closed_for_new");
                 let signal = places.signals.borrow_mut().remove(&closed);
                 signal.iter().for_each(|signal| signal.set());
                 number
             }
             ConnectionAdmission::Full => {
-                places.record("refused");
+                self.record_limit("refused");
                 return None;
             }
         };
@@ -93,18 +105,6 @@
     }
 }
 
-impl Places {
-    fn record(&self, what: &str) {
-        self.telemetry.count(&format!("{}.{what}", self.kind), 1);
-        if self.log_rate.take_line(Clock.now()) {
-            let open = self.connections.borrow().count();
-            let pairs: &[(&str, &dyn std::fmt::Display)] =
-                &[("listener", &self.kind), ("open", &open), ("outcome", &what)];
-            self.telemetry.warn("connections_full", pairs);
-        }
-    }
-}
-
 /// A connection of a caller, which has its place until it is dropped.
 ///
 /// The HTTP parser has a single timer for idle connections and heads. With it alone, a caller that sends a byte now and
@@ -166,6 +166,11 @@
         self.set_phase(ConnectionPhase::Closing);
     }
 
+    /// Counts that a limit of the connection has acted, and logs it.
+    pub(crate) fn record_limit(&self, limit: &'static str) {
+        self.open.record_limit(limit);
+    }
+
     /// Closes it, whatever it does.
     pub(crate) fn close(&self) {
         self.signal.set();
--- a/gateway/src/log_rate.rs
+++ b/gateway/src/log_rate.rs
@@ -1,23 +1,32 @@
 //! Limit on the log lines of events that callers can cause at any rate.
 
-use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
 
 use redwingfold_core::Millis;
 
-/// Maximum number of lines per second.
+/// Maximum number of lines per second of one event.
 const MAX_LINES_PER_SECOND: u32 = 50;
 
-/// Counts the lines of the current second.
+/// Counts the lines of the current second, by event, so that a frequent event does not hide a rare one.
 #[derive(Debug, Default)]
-pub(crate) struct LogRate(Cell<(Millis, u32)>);
+pub(crate) struct LogRate(RefCell<BTreeMap<&'static str, LinesOfSecond>>);
+
+#[derive(Clone, Copy, Debug, Default)]
+struct LinesOfSecond {
+    since: Millis,
+    count: u32,
+}
 
 impl LogRate {
-    /// Returns whether a further line may be logged in this second.
-    pub(crate) fn take_line(&self, now: Millis) -> bool {
-        let (since, count) = self.0.get();
-        let is_new_second = now.since(since) >= Millis(1_000);
-        let count = if is_new_second { 0 } else { count };
-        self.0.set((if is_new_second { now } else { since }, count + 1));
-        count < MAX_LINES_PER_SECOND
+    /// Returns whether a further line of an event may be logged in this second.
+    pub(crate) fn take_line(&self, event: &'static str, now: Millis) -> bool {
+        let mut events = self.0.borrow_mut();
+        let lines = events.entry(event).or_default();
+        if now.since(lines.since) >= Millis(1_000) {
+            *lines = LinesOfSecond { since: now, count: 0 };
+        }
+        lines.count += 1;
+        lines.count <= MAX_LINES_PER_SECOND
     }
 }
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -49,16 +49,17 @@
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))
 }
 
-/// Discards what the peer still sends, until it closes the connection or [`LINGER_TIMEOUT`] has passed.
+/// Discards what the peer still sends, until it closes the connection or [`LINGER_TIMEOUT`] has passed; returns `false` in
+/// the latter case.
 ///
 /// A socket that is closed with unread bytes resets its connection, and a peer that gets a reset may lose what it has not
 /// read yet: a caller that was still sending a refused body would not learn why.
-pub(crate) async fn discard_rest(mut stream: TcpStream) {
+pub(crate) async fn discard_rest(mut stream: TcpStream) -> bool {
     let discarded = async {
         let mut buf = [0; DISCARD_BYTES];
         while stream.read(&mut buf).await.is_ok_and(|len| len > 0) {}
     };
-    within(LINGER_TIMEOUT, discarded).await;
+    within(LINGER_TIMEOUT, discarded).await.is_some()
 }
 
 /// Connects to an address within `limit`.
--- a/gateway/src/pipeline.rs
+++ b/gateway/src/pipeline.rs
@@ -87,7 +87,7 @@
     gw.telemetry.count("request.refused", 1);
     gw.telemetry.count(&format!("request.refused.{}", failed.kind), 1);
     let now = gw.now();
-    if gw.refusal_log_rate.take_line(now) {
+    if gw.refusal_log_rate.take_line("request_refused", now) {
         let config = gw.catalog().map_or(0, |catalog| catalog.version);
         gw.telemetry.info(
             "request_refused",
--- a/gateway/src/request_memory.rs
+++ b/gateway/src/request_memory.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::fmt::Display;
 use std::rc::Rc;
 
 use event_listener::Event;
@@ -89,6 +90,16 @@
         Ok(held)
     }
 
+    /// Records that a response of a request is forwarded without a buffer, as there is no memory for it.
+    pub(crate) fn record_unbuffered(&self, request: &str) {
+        self.telemetry.count("memory.unbuffered_responses", 1);
+        if self.log_rate.take_line("response_unbuffered", Clock.now()) {
+            let in_use = self.memory.borrow().in_use();
+            let pairs: &[(&str, &dyn Display)] = &[("request", &request), ("in_use", &in_use)];
+            self.telemetry.info("response_unbuffered", pairs);
+        }
+    }
+
     /// Updates the gauges of the memory in use.
     pub(crate) fn update_gauges(&self) {
         let memory = self.memory.borrow();
@@ -99,7 +110,7 @@
     fn evict(&self, evicted: Evicted) {
         for (number, why) in evicted {
             self.telemetry.count(&format!("memory.evicted.{why}"), 1);
-            if self.log_rate.take_line(Clock.now()) {
+            if self.log_rate.take_line("memory_evicted", Clock.now()) {
                 let in_use = self.memory.borrow().in_use();
                 self.telemetry.info("memory_evicted", &[("why", &why), ("in_use", &in_use)]);
             }
@@ -116,7 +127,7 @@
 
     fn record_refusal(&self, what: &str, bytes: usize) {
         self.telemetry.count(&format!("memory.refused.{what}"), 1);
-        if self.log_rate.take_line(Clock.now()) {
+        if self.log_rate.take_line("memory_full", Clock.now()) {
             let memory = self.memory.borrow();
             self.telemetry.warn(
                 "memory_full",
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -87,7 +87,9 @@
         if connection.has_unread_body() || ended.as_ref().is_err_and(is_refused) {
             connection.record_closing();
             // Boxed, as its buffer would enlarge the state of every connection.
-            Box::pin(discard_rest(stream)).await;
+            if !Box::pin(discard_rest(stream)).await {
+                connection.record_limit("discard_timeout");
+            }
         }
         if let Err(e) = ended {
             let why = crate::upstream::error_chain(&e);
@@ -97,9 +99,7 @@
     };
     let head_timeout = async {
         connection.wait_for_head_timeout(limits.head_timeout).await;
-        gw.telemetry.count("connection.slow_head", 1);
-        gw.telemetry
-            .debug("connection_closed", &[("why", &"timeout while receiving a request head")]);
+        connection.record_limit("slow_head");
     };
     smol::future::or(connection.wait_close(), smol::future::or(served, head_timeout)).await;
 }
@@ -174,7 +174,10 @@
             gw.spawn(async move {
                 let page = |uri: &Uri| match open.busy() <= limits.responses {
                     true => page(uri),
-                    false => Some(text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n")),
+                    false => {
+                        open.record_limit("busy");
+                        Some(text_response(StatusCode::SERVICE_UNAVAILABLE, "busy\n"))
+                    }
                 };
                 serve_page_requests(&gateway, stream, connection, page).await;
             });
@@ -211,9 +214,10 @@
         // An error needs no handling here, as the client notices that its request failed.
         conn.await.ok();
     };
-    let closed = smol::future::or(
-        connection.wait_close(),
-        connection.wait_for_head_timeout(PAGE_HEAD_TIMEOUT),
-    );
+    let slow_head = async {
+        connection.wait_for_head_timeout(PAGE_HEAD_TIMEOUT).await;
+        connection.record_limit("slow_head");
+    };
+    let closed = smol::future::or(connection.wait_close(), slow_head);
     smol::future::or(closed, served).await;
 }
--- a/gateway/src/unbuffered.rs
+++ b/gateway/src/unbuffered.rs
@@ -20,7 +20,7 @@
 ) -> GatewayResponse {
     request.is_answer_begun = true;
     request.drop_body();
-    request.gw.telemetry.count("memory.unbuffered_responses", 1);
+    request.gw.memory.record_unbuffered(&request.metadata.id);
     let (tx, body) = caller_channel(&request.memory);
     let res = forwarded_response(&response, Box::pin(body));
     let gw = request.gw.clone();
