fix(entry): limits that act are counted and logged, and refusals are bounded in number

What operators saw: nothing of connections that an entry closes for new ones, and a counter without a line for requests that it refuses for want of memory. What callers could take: each connection beyond the limit was refused by a task that waits up to half a second for its caller to read, however many there were.

Cause: the server of the product's own port has no telemetry, and its refusals were counted nowhere.

Change: the server and the account count what their limits do; an entry reports it once a second, in one line (limits_acted) and four counters. 64 connections are refused at the same time, further ones are closed at once. One type for a signal that is set once replaces two of the same text.

Evidence: limits_of_an_entry_are_logged, new; the code before has no such line. The bound of 64 has no test of its own.

--- a/http/src/places.rs
+++ b/http/src/places.rs
@@ -1,33 +1,29 @@
 //! Places of a server's connections.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Instant;
 
-use event_listener::Event;
 use redwingfold_core::{
     CallerConnections, ConnectionAdmission, ConnectionNumber, ConnectionPhase, Millis,
 };
 
+use crate::signal::Signal;
+
 /// The open connections of a server.
 #[derive(Debug)]
 pub(crate) struct Places {
     table: Mutex<Table>,
     started_at: Instant,
+    closed_for_new: AtomicU64,
+    refused: AtomicU64,
 }
 
 #[derive(Debug)]
 struct Table {
     connections: CallerConnections,
-    signals: HashMap<ConnectionNumber, Arc<CloseSignal>>,
-}
-
-/// Tells a connection that its place is needed.
-#[derive(Debug, Default)]
-struct CloseSignal {
-    is_set: AtomicBool,
-    changed: Event,
+    signals: HashMap<ConnectionNumber, Arc<Signal>>,
 }
 
 /// The place of a connection, until it is dropped.
@@ -35,13 +31,29 @@
 pub(crate) struct Place {
     places: Arc<Places>,
     number: ConnectionNumber,
-    signal: Arc<CloseSignal>,
+    /// Set when the place is needed for another connection.
+    signal: Arc<Signal>,
 }
 
 impl Places {
     pub(crate) fn new(max: usize) -> Self {
         let table = Table { connections: CallerConnections::new(max), signals: HashMap::new() };
-        Self { table: Mutex::new(table), started_at: Instant::now() }
+        Self {
+            table: Mutex::new(table),
+            started_at: Instant::now(),
+            closed_for_new: AtomicU64::new(0),
+            refused: AtomicU64::new(0),
+        }
+    }
+
+    /// Returns the number of connections that were closed for new ones.
+    pub(crate) fn closed_for_new(&self) -> u64 {
+        self.closed_for_new.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of connections for which there was no place.
+    pub(crate) fn refused(&self) -> u64 {
+        self.refused.load(Ordering::Relaxed)
     }
 
     fn lock(&self) -> MutexGuard<'_, Table> {
@@ -58,15 +70,16 @@
         let number = match table.connections.open(self.now()) {
             ConnectionAdmission::Admitted(number) => number,
             ConnectionAdmission::InsteadOf(number, closed) => {
-                if let Some(signal) = table.signals.remove(&closed) {
-                    signal.is_set.store(true, Ordering::SeqCst);
-                    signal.changed.notify(usize::MAX);
-                }
+                self.closed_for_new.fetch_add(1, Ordering::Relaxed);
+                table.signals.remove(&closed).iter().for_each(|signal| signal.set());
                 number
             }
-            ConnectionAdmission::Full => return None,
+            ConnectionAdmission::Full => {
+                self.refused.fetch_add(1, Ordering::Relaxed);
+                return None;
+            }
         };
-        let signal = Arc::new(CloseSignal::default());
+        let signal = Arc::new(Signal::default());
         table.signals.insert(number, signal.clone());
         Some(Place { places: self.clone(), number, signal })
     }
@@ -81,13 +94,7 @@
 
     /// Waits until the place is needed for another connection.
     pub(crate) async fn wait_close(&self) {
-        loop {
-            let changed = self.signal.changed.listen();
-            if self.signal.is_set.load(Ordering::SeqCst) {
-                return;
-            }
-            changed.await;
-        }
+        self.signal.wait().await;
     }
 }
 
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -2,8 +2,8 @@
 
 use std::future::Future;
 use std::net::SocketAddr;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use async_h1::server::{ConnectionStatus, Server};
@@ -25,6 +25,10 @@
     pub head_timeout: Duration,
 }
 
+/// Maximum number of connections without a place that are refused at the same time. Further ones are closed at once, as a
+/// refusal waits for its caller to read it.
+const MAX_REFUSALS: usize = 64;
+
 /// Why a request or connection was refused before the handler was called.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Refusal {
@@ -48,6 +52,8 @@
     is_draining: AtomicBool,
     open_connections: AtomicUsize,
     in_flight: AtomicUsize,
+    /// Set when the server starts.
+    places: OnceLock<Arc<Places>>,
 }
 
 impl Drain {
@@ -66,6 +72,16 @@
         self.0.in_flight.load(Ordering::SeqCst)
     }
 
+    /// Returns the number of connections without a request, or idle ones, that were closed for new ones.
+    pub fn closed_for_new(&self) -> u64 {
+        self.0.places.get().map_or(0, |places| places.closed_for_new())
+    }
+
+    /// Returns the number of connections that were refused, as all others were in use.
+    pub fn refused(&self) -> u64 {
+        self.0.places.get().map_or(0, |places| places.refused())
+    }
+
     /// Returns the number of open connections.
     pub fn open_connections(&self) -> usize {
         self.0.open_connections.load(Ordering::SeqCst)
@@ -112,7 +128,9 @@
     Fut: Future<Output = Response> + Send + 'static,
     R: Fn(Refusal) -> Response + Clone + Send + Sync + 'static,
 {
-    let places = Arc::new(Places::new(limits.connections));
+    let places = Places::new(limits.connections);
+    let places = drain.0.places.get_or_init(|| Arc::new(places)).clone();
+    let refusing = Arc::new(AtomicUsize::new(0));
     loop {
         let Ok((stream, addr)) = listener.accept().await else {
             // Most likely out of file descriptors: wait for some to be closed instead of
@@ -124,7 +142,7 @@
         // request.
         stream.set_nodelay(true).ok();
         let (drain, handler, refuse) = (drain.clone(), handler.clone(), refuse.clone());
-        let place = places.open();
+        let (place, refusing) = (places.open(), refusing.clone());
         smol::spawn(async move {
             let _open_guard = CountGuard::new(&drain.0.open_connections);
             match place {
@@ -133,7 +151,12 @@
                         serve_connection(stream, addr, limits, &place, &drain, refuse, handler);
                     serving.or(place.wait_close()).await;
                 }
-                None => write_refusal(stream, refuse(Refusal::TooManyOpen)).await,
+                None => {
+                    let _refusing_guard = CountGuard::new(&refusing);
+                    if refusing.load(Ordering::SeqCst) <= MAX_REFUSALS {
+                        write_refusal(stream, refuse(Refusal::TooManyOpen)).await;
+                    }
+                }
             }
         })
         .detach();
--- a/src/entry/body_memory.rs
+++ b/src/entry/body_memory.rs
@@ -1,14 +1,13 @@
 //! The memory of callers' requests: reserved before a body is received, and given back when its request ends.
 
 use std::collections::HashMap;
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
-use event_listener::Event;
 use redwingfold_core::{
     ByteCount, Evicted, HolderNumber, MemoryFull, MemoryOwner, MemoryPhase, MemoryPolicy, Millis,
     RequestMemory,
 };
+use redwingfold_http::Signal;
 
 use crate::settings::LimitSettings;
 
@@ -28,14 +27,11 @@
 #[derive(Debug)]
 struct Account {
     memory: RequestMemory,
-    signals: HashMap<HolderNumber, Arc<EvictionSignal>>,
-}
-
-/// Tells a request that it has lost its memory.
-#[derive(Debug, Default)]
-struct EvictionSignal {
-    is_set: AtomicBool,
-    changed: Event,
+    signals: HashMap<HolderNumber, Arc<Signal>>,
+    /// Requests that were refused for want of memory.
+    refused: u64,
+    /// Requests that lost their memory to others.
+    evicted: u64,
 }
 
 /// The memory of one request, until it is dropped.
@@ -43,7 +39,8 @@
 pub(crate) struct HeldBody {
     account: Arc<BodyMemory>,
     number: HolderNumber,
-    signal: Arc<EvictionSignal>,
+    /// Set when the request loses its memory.
+    signal: Arc<Signal>,
 }
 
 impl BodyMemory {
@@ -56,7 +53,13 @@
             ..MemoryPolicy::default()
         };
         let memory = RequestMemory::new(policy);
-        Self(Mutex::new(Account { memory, signals: HashMap::new() }))
+        Self(Mutex::new(Account { memory, signals: HashMap::new(), refused: 0, evicted: 0 }))
+    }
+
+    /// Returns the numbers of requests that were refused for want of memory, and that lost theirs to others.
+    pub(crate) fn counts(&self) -> (u64, u64) {
+        let account = self.lock();
+        (account.refused, account.evicted)
     }
 
     fn lock(&self) -> MutexGuard<'_, Account> {
@@ -74,9 +77,10 @@
         now: Millis,
     ) -> Result<HeldBody, MemoryFull> {
         let mut account = self.lock();
-        let (number, evicted) = account.memory.open(owner, now)?;
+        let opened = account.memory.open(owner, now);
+        let (number, evicted) = opened.inspect_err(|_| account.refused += 1)?;
         account.evict(evicted);
-        let signal = Arc::new(EvictionSignal::default());
+        let signal = Arc::new(Signal::default());
         account.signals.insert(number, signal.clone());
         Ok(HeldBody { account: self.clone(), number, signal })
     }
@@ -84,9 +88,9 @@
 
 impl Account {
     fn evict(&mut self, evicted: Evicted) {
+        self.evicted += evicted.len() as u64;
         for signal in evicted.iter().filter_map(|(number, _)| self.signals.remove(number)) {
-            signal.is_set.store(true, Ordering::SeqCst);
-            signal.changed.notify(usize::MAX);
+            signal.set();
         }
     }
 }
@@ -105,7 +109,8 @@
     ) -> Result<(), MemoryFull> {
         let mut account = self.account.lock();
         account.memory.record_progress(self.number, received, now);
-        let evicted = account.memory.resize(self.number, COPIES * bytes, now)?;
+        let resized = account.memory.resize(self.number, COPIES * bytes, now);
+        let evicted = resized.inspect_err(|_| account.refused += 1)?;
         account.evict(evicted);
         Ok(())
     }
@@ -117,13 +122,7 @@
 
     /// Waits until the request has lost its memory.
     pub(crate) async fn wait_evicted(&self) {
-        loop {
-            let changed = self.signal.changed.listen();
-            if self.signal.is_set.load(Ordering::SeqCst) {
-                return;
-            }
-            changed.await;
-        }
+        self.signal.wait().await;
     }
 }
 
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -9,6 +9,7 @@
 mod context;
 mod decisions;
 mod hints;
+mod limit_report;
 mod pick;
 mod quality;
 mod response;
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -222,7 +222,7 @@
     }
     let owner = MemoryOwner::Customer(xxh3_64(customer.as_str().as_bytes()) as u32);
     let memory = entry.body_memory.open(owner, entry.daemon.now());
-    let memory = memory.map_err(|full| memory_error(entry, full))?;
+    let memory = memory.map_err(memory_error)?;
     let received = async {
         let slow = || RequestError::new(ErrorKind::SlowSender, "the body took too long");
         let collected = collect_body(entry, req, &memory);
@@ -230,7 +230,6 @@
     };
     let evicted = async {
         memory.wait_evicted().await;
-        entry.daemon.telemetry.count("request.memory_evicted", 1);
         Err(RequestError::new(ErrorKind::SlowSender, "others need the memory of a slow body"))
     };
     let body = smol::future::or(evicted, received).await?;
@@ -263,14 +262,13 @@
             doubled => needed.max((2 * doubled).min(limits.body_bytes)),
         };
         let resized = memory.resize(capacity, len, entry.daemon.now());
-        resized.map_err(|full| memory_error(entry, full))?;
+        resized.map_err(memory_error)?;
         body.reserve_exact(capacity - body.len());
         body.extend_from_slice(&buf[..len]);
     }
 }
 
-fn memory_error(entry: &Entry, _: MemoryFull) -> RequestError {
-    entry.daemon.telemetry.count("request.memory_full", 1);
+fn memory_error(_: MemoryFull) -> RequestError {
     RequestError::new(ErrorKind::TooManyOpen, "requests take up the memory for them")
 }
 
--- a/src/entry/start.rs
+++ b/src/entry/start.rs
@@ -13,6 +13,7 @@
 
 use super::connections::{keep_connected, side_connection};
 use super::context::Entry;
+use super::limit_report::report_limits;
 use super::response::refusal_response;
 use super::rollouts::run_rating_loop;
 use super::serve::handle;
@@ -73,6 +74,7 @@
         e.bills.run_appender(&e.daemon, |batch| confirm_bills(&e, batch)).await;
     }));
     tasks.push(spawn(&entry, |e| async move { run_rating_loop(&e).await }));
+    tasks.push(spawn(&entry, report_limits));
     let peer_server = {
         let entry = entry.clone();
         let handler = move |_: Connection, call, tx, _: FrameReader<Call>| {
--- a/tests/crowds.rs
+++ b/tests/crowds.rs
@@ -118,3 +118,25 @@
     deployment.check_beside_and_after(SILENT_CONNECTIONS, |_| Script::default());
     deployment.check_beside_and_after(SILENT_CONNECTIONS, |_| Script::whole(b"GET /".to_vec()));
 }
+
+/// Guards against limits of an entry that act without a sign of it.
+#[test]
+fn limits_of_an_entry_are_logged() {
+    let deployment = Deployment::start();
+    let crowd = Crowd::start(deployment.fleet.caller(0).addr, LARGE_BODIES, |_| {
+        let pieces = unfinished_body(&head(&key_of("ani")), MAX_BODY_BYTES, MAX_BODY_BYTES);
+        Script { pieces, ..Script::default() }
+    });
+    crowd.wait_settled();
+    // The bodies that have stalled give way to it.
+    deployment.check_served("beside the crowd", &"x".repeat(MAX_BODY_BYTES));
+    crowd.leave();
+    deployment.check_beside_and_after(SILENT_CONNECTIONS, |_| Script::default());
+    let process = deployment.fleet.process("entry-0");
+    let lines = || process.lines().into_iter().filter(|line| line.contains("event=limits_acted"));
+    for limit in ["connections_closed=", "memory_full=", "memory_evicted="] {
+        let none = format!("{limit}0");
+        let is_logged = eventually(|| lines().any(|line| !line.contains(&none)));
+        assert!(is_logged, "{limit}: {:?}", lines().collect::<Vec<_>>());
+    }
+}
