fix(gateway): requests take the memory that connections leave

Cause: connections and requests had three eighths of the memory each, and the part of connections stayed free. Ruled out: the reservation by growth (the sum in use was the bound of large requests), and stalled bodies giving way (none stalled).

Change: one budget (core/memory_budget.rs, without I/O). Requests take what connections leave of three quarters of the limit, and of the limit less 24 MB for the program, whichever is less; connections have a sixteenth beside any requests. Stalled requests give way to a new connection. The part for small requests is an eighth. What lies unread on connections to servers is limited as well: answers that nobody reads took 65,681 kB of 65,536 with it at the kernel's choice.

--- a/core/src/serving/caller_connections.rs
+++ b/core/src/serving/caller_connections.rs
@@ -82,6 +82,11 @@
         Self { max, open: BTreeMap::new(), next: 0 }
     }
 
+    /// Changes the number of places. If fewer are left than connections are open, these stay open.
+    pub fn set_max(&mut self, max: usize) {
+        self.max = max;
+    }
+
     /// Returns the number of open connections.
     pub fn count(&self) -> usize {
         self.open.len()
--- a/core/src/serving/mod.rs
+++ b/core/src/serving/mod.rs
@@ -28,6 +28,7 @@
 mod limits;
 mod load;
 mod members;
+mod memory_budget;
 mod placement;
 mod quarantine;
 mod registry;
@@ -83,6 +84,7 @@
 pub use limits::{LimitChange, LimitPolicy, ServerLimits};
 pub use load::{PeerLoad, PeerLoads, PrefillRates, ServerReport};
 pub use members::Members;
+pub use memory_budget::MemoryBudget;
 pub use placement::{Place, PlacementPolicy, Work, is_in_first_half, lead_servers, place};
 pub use quarantine::{
     Admission, Mark, MarkChange, Quarantine, QuarantinePolicy, RequestAdmission, SuspectTrial,
--- a/core/src/serving/request_memory.rs
+++ b/core/src/serving/request_memory.rs
@@ -76,7 +76,7 @@
             total: ByteCount(64 * 1024 * 1024),
             per_request: ByteCount(32 * 1024),
             small_request: ByteCount(64 * 1024),
-            small_share: 0.25,
+            small_share: 0.125,
             unidentified_share: 0.5,
             stall_time: Millis(1_000),
             min_body_rate: 32 * 1024,
@@ -154,6 +154,24 @@
         self.holders.len()
     }
 
+    /// Changes the memory of all requests together. Returns the requests that give way, as they have stalled and more is
+    /// reserved than there is now; the others keep what they have.
+    pub fn set_total(&mut self, total: ByteCount, now: Millis) -> Evicted {
+        self.policy.total = total;
+        if self.used.all <= total.0 {
+            return Vec::new();
+        }
+        let mut evicted = Vec::new();
+        for (number, why) in self.stalled(None, now) {
+            if self.used.all <= total.0 {
+                break;
+            }
+            self.close(number);
+            evicted.push((number, why));
+        }
+        evicted
+    }
+
     /// Reserves memory for a request whose head was received, without its body.
     ///
     /// # Errors
@@ -219,7 +237,7 @@
             return Some(evicted);
         }
         for (other, why) in
-            self.stalled(number, now).into_iter().chain(self.heavy(number, &resized))
+            self.stalled(Some(number), now).into_iter().chain(self.heavy(number, &resized))
         {
             let held = &self.holders[&other];
             let is_evicted = evicted.iter().any(|(known, _)| *known == other);
@@ -327,9 +345,9 @@
             || (unidentified && other.owner == MemoryOwner::Unidentified)
     }
 
-    /// Returns the requests whose callers make no progress, those that have waited longest first, and then those that are
-    /// too slow.
-    fn stalled(&self, number: HolderNumber, now: Millis) -> Evicted {
+    /// Returns the requests other than `except` whose callers make no progress, those that have waited longest first, and
+    /// then those that are too slow.
+    fn stalled(&self, except: Option<HolderNumber>, now: Millis) -> Evicted {
         let rank = |holder: &Holder| {
             let age = now.since(holder.since);
             let is_stalled = now.since(holder.progress_at) >= self.policy.stall_time;
@@ -347,7 +365,7 @@
                     .then_some((1, rate, Eviction::SlowBody)),
             }
         };
-        let others = self.holders.iter().filter(|(other, _)| **other != number);
+        let others = self.holders.iter().filter(|(other, _)| Some(**other) != except);
         let mut ranked: Vec<_> = others
             .filter_map(|(other, holder)| {
                 rank(holder).map(|(class, key, why)| (class, key, *other, why))
--- a/gateway/src/accept.rs
+++ b/gateway/src/accept.rs
@@ -6,6 +6,7 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
 use std::sync::Arc;
 
 use event_listener::Event;
@@ -16,6 +17,7 @@
 use crate::caller_connection::{CallerConnection, OpenConnections};
 use crate::clock::{Clock, processor_time, sleep};
 use crate::loop_turn::LoopTurn;
+use crate::request_memory::MemoryAccount;
 
 /// Delay after a failed accept, most likely because file descriptors are exhausted until some are closed.
 pub(crate) const ACCEPT_RETRY_DELAY: Millis = Millis(10);
@@ -39,6 +41,7 @@
     turn: LoopTurn,
     telemetry: Telemetry,
     open: OpenConnections,
+    memory: Rc<MemoryAccount>,
     accepted: Cell<u64>,
     closed: Cell<u64>,
     /// Notified when connections are closed unread.
@@ -55,6 +58,7 @@
         policy: AcceptPolicy,
         telemetry: Telemetry,
         open: OpenConnections,
+        memory: Rc<MemoryAccount>,
     ) -> io::Result<Self> {
         Ok(Self {
             queue: RefCell::new(AcceptQueue::new(policy)),
@@ -62,6 +66,7 @@
             turn: LoopTurn::new()?,
             telemetry,
             open,
+            memory,
             accepted: Cell::new(0),
             closed: Cell::new(0),
             overload_began: Event::new(),
@@ -101,6 +106,7 @@
     }
 
     fn add(&self, stream: TcpStream) {
+        self.memory.prepare_connection();
         let Some(connection) = self.open.open() else { return };
         self.telemetry.count("connection.accepted", 1);
         self.accepted.set(self.accepted.get() + 1);
--- a/gateway/src/caller_connection.rs
+++ b/gateway/src/caller_connection.rs
@@ -65,6 +65,11 @@
         }
     }
 
+    /// Changes the number of places.
+    pub(crate) fn set_max(&self, max: usize) {
+        self.0.connections.borrow_mut().set_max(max);
+    }
+
     /// Returns the number of open connections.
     pub(crate) fn count(&self) -> usize {
         self.0.connections.borrow().count()
--- a/gateway/src/gateway.rs
+++ b/gateway/src/gateway.rs
@@ -164,9 +164,18 @@
     ) -> Self {
         let rollouts = Rollouts::new(settings.canary, settings.session_retention);
         let feeds = Feeds::new(settings.feeds);
-        let connections =
-            OpenConnections::new("connection", settings.max_connections, telemetry.clone());
-        let memory = Rc::new(MemoryAccount::new(settings.memory, telemetry.clone()));
+        let connections = OpenConnections::new(
+            "connection",
+            settings.memory_budget.max_connections,
+            telemetry.clone(),
+        );
+        let memory = MemoryAccount::new(
+            settings.memory,
+            settings.memory_budget,
+            connections.clone(),
+            telemetry.clone(),
+        );
+        let memory = Rc::new(memory);
         let connect_timeout = ConnectTimeout::new(settings.connect_timeout);
         let pool = ConnectionPool::new(settings.connection_reuse);
         // Many gateways detect the termination of a server at once. A random delay keeps their writes of marks from
--- a/gateway/src/net.rs
+++ b/gateway/src/net.rs
@@ -23,6 +23,10 @@
 /// Size of the receive buffer of an accepted connection, which the kernel doubles for its own use.
 const RECEIVE_BUFFER_BYTES: usize = 16 * 1024;
 
+/// Size of the receive buffer of a connection to a server, the store or another gateway. What a response takes there until
+/// its caller reads on is memory of the process as well.
+const SERVER_RECEIVE_BUFFER_BYTES: usize = 32 * 1024;
+
 /// Longest time for which a caller's bytes are discarded after the last response on its connection.
 const LINGER_TIMEOUT: Millis = Millis(1_000);
 
@@ -71,6 +75,7 @@
     let timed_out = || io::Error::new(io::ErrorKind::TimedOut, "no connection in time");
     let stream = within(limit, TcpStream::connect(addr)).await.ok_or_else(timed_out)??;
     set_socket_options(&stream)?;
+    SockRef::from(&stream).set_recv_buffer_size(SERVER_RECEIVE_BUFFER_BYTES)?;
     Ok(stream)
 }
 
--- a/gateway/src/request_memory.rs
+++ b/gateway/src/request_memory.rs
@@ -7,12 +7,12 @@
 
 use event_listener::Event;
 use redwingfold_core::{
-    Evicted, Eviction, HolderNumber, MemoryFull, MemoryOwner, MemoryPhase, MemoryPolicy,
-    RequestMemory,
+    Evicted, Eviction, HolderNumber, MemoryBudget, MemoryFull, MemoryOwner, MemoryPhase,
+    MemoryPolicy, RequestMemory,
 };
 use redwingfold_telemetry::Telemetry;
 
-use crate::caller_connection::CallerConnection;
+use crate::caller_connection::{CallerConnection, OpenConnections};
 use crate::clock::Clock;
 use crate::log_rate::LogRate;
 
@@ -22,6 +22,9 @@
 /// The account of all requests of a gateway.
 #[derive(Debug)]
 pub(crate) struct MemoryAccount {
+    budget: MemoryBudget,
+    /// The connections that share the budget.
+    connections: OpenConnections,
     memory: RefCell<RequestMemory>,
     holders: RefCell<HashMap<HolderNumber, Rc<HolderState>>>,
     telemetry: Telemetry,
@@ -47,8 +50,16 @@
 }
 
 impl MemoryAccount {
-    pub(crate) fn new(policy: MemoryPolicy, telemetry: Telemetry) -> Self {
+    pub(crate) fn new(
+        policy: MemoryPolicy,
+        budget: MemoryBudget,
+        connections: OpenConnections,
+        telemetry: Telemetry,
+    ) -> Self {
+        let policy = MemoryPolicy { total: budget.for_requests(0), ..policy };
         Self {
+            budget,
+            connections,
             memory: RefCell::new(RequestMemory::new(policy)),
             holders: RefCell::default(),
             telemetry,
@@ -56,6 +67,19 @@
         }
     }
 
+    /// Prepares for a further connection: sets how many places there is memory for, after requests that have stalled gave way.
+    pub(crate) fn prepare_connection(&self) {
+        self.fit_beside(self.connections.count() + 1);
+        self.connections.set_max(self.budget.connections(self.memory.borrow().in_use()));
+    }
+
+    /// Limits the memory of requests to what a number of connections leaves.
+    fn fit_beside(&self, connections: usize) {
+        let total = self.budget.for_requests(connections);
+        let evicted = self.memory.borrow_mut().set_total(total, Clock.now());
+        self.evict(evicted);
+    }
+
     /// Reserves memory for a request whose head of `head` bytes was received.
     ///
     /// # Errors
@@ -77,6 +101,7 @@
         head: usize,
         connection: &Rc<CallerConnection>,
     ) -> Result<HeldMemory, MemoryFull> {
+        self.fit_beside(self.connections.count());
         let (number, evicted) = self.memory.borrow_mut().open(owner, Clock.now())?;
         self.evict(evicted);
         let state = Rc::new(HolderState {
@@ -149,6 +174,7 @@
     ///
     /// [`MemoryFull`] if there is not enough; the request keeps what it has.
     pub(crate) fn resize(&self, bytes: usize) -> Result<(), MemoryFull> {
+        self.account.fit_beside(self.account.connections.count());
         let bytes = self.head + bytes;
         let resized = self.account.memory.borrow_mut().resize(self.number, bytes, Clock.now());
         self.account.evict(resized?);
@@ -174,6 +200,7 @@
 
     /// Returns an error if the request could not get `bytes` now.
     pub(crate) fn check_room(&self, bytes: usize) -> Result<(), MemoryFull> {
+        self.account.fit_beside(self.account.connections.count());
         let bytes = self.head + bytes;
         let has_room = self.account.memory.borrow().has_room(self.number, bytes, Clock.now());
         has_room.then_some(()).ok_or(MemoryFull)
--- a/gateway/src/serve.rs
+++ b/gateway/src/serve.rs
@@ -46,7 +46,8 @@
 ) -> io::Result<impl Future<Output = ()>> {
     let (settings, telemetry) = (&gw.settings, gw.telemetry.clone());
     set_listener_options(&gw, &listener);
-    let accepted = NewConnections::new(settings.accept, telemetry, gw.connections.clone())?;
+    let accepted =
+        NewConnections::new(settings.accept, telemetry, gw.connections.clone(), gw.memory.clone())?;
     let accepted = Rc::new(accepted);
     let logging = accepted.clone();
     gw.spawn(async move { logging.log_overload().await });
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,9 +1,9 @@
 //! Settings of a gateway.
 
 use redwingfold_core::{
-    AcceptPolicy, CanaryPolicy, ColdPolicy, ConnectionReusePolicy, HealthPolicy, LimitPolicy,
-    MemoryPolicy, Millis, PlacementPolicy, QuarantinePolicy, SilencePolicy, SizePolicy,
-    UrgencyPolicy,
+    AcceptPolicy, ByteCount, CanaryPolicy, ColdPolicy, ConnectionReusePolicy, HealthPolicy,
+    LimitPolicy, MemoryBudget, MemoryPolicy, Millis, PlacementPolicy, QuarantinePolicy,
+    SilencePolicy, SizePolicy, UrgencyPolicy,
 };
 
 use crate::feeds::FeedPeriods;
@@ -11,11 +11,11 @@
 /// Settings of a gateway, fixed at its start.
 #[derive(Clone, Debug)]
 pub struct GatewaySettings {
-    /// Maximum number of open connections from callers.
-    pub max_connections: usize,
+    /// Memory that callers' connections and requests share, and the maximum number of connections.
+    pub memory_budget: MemoryBudget,
     /// Policy for closing new connections that would wait too long.
     pub accept: AcceptPolicy,
-    /// Policy for the memory of requests.
+    /// Policy for the memory of requests; its total comes from the budget.
     pub memory: MemoryPolicy,
     /// Maximum ratio of retries to requests.
     pub retry_ratio: f64,
@@ -73,7 +73,12 @@
     /// ```
     fn default() -> Self {
         Self {
-            max_connections: 1_500,
+            memory_budget: MemoryBudget {
+                total: ByteCount(128 * 1024 * 1024),
+                per_connection: ByteCount(48 * 1024),
+                min_connections: 300,
+                max_connections: 1_500,
+            },
             accept: AcceptPolicy::default(),
             memory: MemoryPolicy::default(),
             retry_ratio: 0.8,
